--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cmath>
 #include <exception>
 #include <iostream>
 #include <utility>
@@ -19,8 +20,35 @@
 constexpr double kMargin = 0.040;
 // s. If by then, for whatever reason, there is no answer, the node fails the request itself.
 constexpr double kGuardMargin = 0.020;
+constexpr int kMostPaths = 100;   // log lines a second about requests that went badly; a flood gets no more
 constexpr double kReconnect = 1;  // s; mean wait before a broken watch is made anew, where lists are pushed
 
+std::string milliseconds(double seconds) { return std::to_string(std::lround(seconds * 1000)) + " ms"; }
+
+const char* name_of(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kDelivered:
+      return "answered";
+    case Outcome::kError:
+      return "error";
+    case Outcome::kRejected:
+      return "turned away";
+    case Outcome::kTimedOut:
+      return "timed out";
+    case Outcome::kDialFailed:
+      return "could not connect";
+    case Outcome::kReset:
+      return "reset";
+    case Outcome::kCancelled:
+      return "cancelled";
+    case Outcome::kNotSent:
+      return "not sent";
+    case Outcome::kUnknown:
+      return "unreadable answer";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 bool Dispatcher::Held::any_open() const { return std::find(open.begin(), open.end(), true) != open.end(); }
@@ -53,6 +81,8 @@
   Held& held = held_[id];
   held.message = std::move(message);
   held.answer_to = std::move(answer_to);
+  held.since = now;
+  held.path = ", class " + std::to_string(event.request_class) + ", given " + milliseconds(event.time_left);
   held.until = now + event.time_left - kMargin;
   held.guard = std::make_unique<asio::steady_timer>(io_, clock_.at(now + event.time_left - kGuardMargin));
   held.guard->async_wait([this, id](error_code cancelled) {
@@ -67,6 +97,8 @@
   if (at == held_.end() || at->second.over()) return;
   at->second.answer_to = nullptr;
   at->second.guard.reset();
+  at->second.went_badly = true;
+  at->second.path += ", its client left after " + milliseconds(clock_.now() - at->second.since);
   happen(RequestGone{id});
   settle(id);
 }
@@ -170,6 +202,9 @@
   event.attempt = attempt;
   event.outcome = outcome;
   event.elapsed = clock_.now() - sent;
+  held.path += ", " + held.servers[static_cast<std::size_t>(attempt)] + " " + name_of(outcome) + " after " +
+               milliseconds(event.elapsed);
+  held.went_badly |= outcome != Outcome::kDelivered;
   event.request_done = held.over();
   happen(std::move(event));
   settle(id);
@@ -180,13 +215,30 @@
 void Dispatcher::answer(Held& held, Answer&& answer) {
   const AnswerTo answer_to = std::exchange(held.answer_to, nullptr);
   held.guard.reset();
+  const bool served = answer.kind == Answer::Kind::kServed;
+  held.went_badly |= !served;
+  held.path += served ? ", served" : answer.kind == Answer::Kind::kRefused ? ", refused" : ", failed";
+  held.path += " after " + milliseconds(clock_.now() - held.since);
   answer_to(std::move(answer));
 }
 
 // A request stays in the table as long as it owes an answer or has attempts out.
 void Dispatcher::settle(const std::string& id) {
   const auto at = held_.find(id);
-  if (at != held_.end() && at->second.over() && !at->second.any_open()) held_.erase(at);
+  if (at == held_.end() || !at->second.over() || at->second.any_open()) return;
+  log_path(id, at->second);
+  held_.erase(at);
+}
+
+// One that ended badly, or took more than one attempt, can be followed from its first byte to its last.
+void Dispatcher::log_path(const std::string& id, const Held& held) {
+  if (!held.went_badly) return;
+  const double now = clock_.now();
+  if (now >= paths_since_ + 1) {
+    paths_since_ = now;
+    paths_ = 0;
+  }
+  if (++paths_ <= kMostPaths) std::clog << "request " << id << held.path << '\n';
 }
 
 // Guards against a module that errs or holds on for too long, and against timers that come late.
@@ -214,6 +266,7 @@
   double timeout = action.timeout == 0 ? left : std::min(action.timeout, left);
   if (held.over()) timeout = 0;  // danger: a send after the final answer; it never leaves
   held.open.push_back(true);
+  held.servers.push_back(action.server);
   held.attempts.push_back(
       upstream_.start(action.server, held.message, timeout,
                       [this, id = action.id, attempt, now](Outcome outcome, HttpResponse&& response) {
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -56,6 +56,10 @@
     std::unique_ptr<boost::asio::steady_timer> guard;
     std::vector<Upstream::Handle> attempts;
     std::vector<bool> open;
+    std::vector<std::string> servers;  // of the attempts
+    double since = 0;                  // when it was taken
+    std::string path;                  // for the log: how each attempt ended, and the request
+    bool went_badly = false;
     bool over() const { return !answer_to; }
     bool any_open() const;
   };
@@ -66,6 +70,7 @@
                      HttpResponse&& response);
   void answer(Held& held, Answer&& answer);
   void settle(const std::string& id);
+  void log_path(const std::string& id, const Held& held);
   void overdue(const std::string& id);
 
   void perform(const Send& action);
@@ -90,6 +95,8 @@
   std::size_t ready_ = 0;
   std::deque<Event> events_;
   bool handling_ = false, failed_ = false, module_failed_ = false;
+  double paths_since_ = 0;  // when the count of logged paths began, anew each second
+  int paths_ = 0;
 };
 
 }  // namespace thymewood::node
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -276,6 +276,23 @@
 
 // ---------------------------------------------------------------- discovery
 
+// What went badly can be followed by its id; what went well leaves no line.
+TEST(Paths, ARequestThatEndsBadlyIsLoggedWithItsAttempts) {
+  FakeServer server([](Wire& wire, const std::string& request) {
+    const bool good = field_of(request, "X-Request-ID") == "good";
+    return wire.write(good ? http_answer(200, "ok") : http_answer(500, "no"));
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(Ask{.id = "good"}.text());
+  EXPECT_EQ(status_of(client.read_message()), 200);
+  client.write(Ask{.id = "bad"}.text());
+  EXPECT_EQ(status_of(client.read_message()), 502);
+  EXPECT_TRUE(eventually([&] { return d.program->logged("request bad,") == 1; })) << d.program->log();
+  EXPECT_EQ(d.program->logged("s0 error after"), 1);
+  EXPECT_EQ(d.program->logged("request good"), 0);
+}
+
 TEST(Watch, ResumesAfterTheListInHandAndTakesSplitAndJoinedLines) {
   FakeServer old_server(replies(200, "old")), new_server(replies(200, "new"));
   Deployment d({&old_server});
