--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -343,14 +343,28 @@
   void find_knee(ServerNode& s) {
     if (settings_.tier > 0 || !s.idle.learned) return;
     const bool slow = s.recent.mean > (s.slow ? kRecovered : kSlow) * s.idle.base;
-    if (slow && !s.slow && now_ > knee_at_ + kKneePause) {
+    if (slow && !s.slow && now_ > knee_at_ + kKneePause && is_crowd()) {
       knee_ = std::max(1.0, kKneeDrop * std::min<double>(in_flight_, knee()));  // 0 would refuse for good
       knee_at_ = now_;
-      out_->push_back(LogLine{"crowded: a server turned slow, in flight held to " + std::to_string(knee_)});
+      out_->push_back(LogLine{"crowded: " + s.told.address + " and others turned slow, in flight held to " +
+                              std::to_string(knee_)});
     }
     s.slow = slow;
   }
 
+  // Whether the servers are slower than usual by half of them or more. Danger: one that is slow by itself,
+  // sick or squeezed by a neighbour, tells nothing of how many calls the others can hold.
+  bool is_crowd() const {
+    int measured = 0, slower = 0;
+    for (const std::size_t i : ring_) {
+      const ServerNode& s = servers_[i];
+      if (!s.idle.learned) continue;
+      ++measured;
+      if (s.recent.mean > kRecovered * s.idle.base) ++slower;
+    }
+    return 2 * slower >= measured;
+  }
+
   // The part of its full capacity that a server is sure to have by now.
   double warmth(const ServerNode& s) const {
     if (s.told.started == 0 || settings_.ramp_time <= 0) return 1;
