--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -31,6 +31,10 @@
 // servers send behind an answer, such as a second copy of it, may come a moment later and would pass for the
 // next answer.
 constexpr double kRest = 0.004;
+// s. An answer that has begun and is not whole after this long is given up. Danger: one that stops half-way,
+// or comes a few bytes at a time, would hold its request until its whole time is gone, though another server
+// could still answer it. A body has 64 KiB at most.
+constexpr double kWhole = 0.25;
 // Bytes of an answer that may wait to be parsed: a whole head and some more. Danger: a parser asks for more
 // of a line that does not end, as in the extension of a chunk, for as long as there is room.
 constexpr std::size_t kMostUnparsed = kHeaderLimit + 16 * 1024;
@@ -87,8 +91,9 @@
 class Upstream::Attempt {
  public:
   Attempt(asio::io_context& io, Budget& budget, Report to)
-      : timer(io), report(std::move(to)), share(budget) {}
+      : timer(io), whole(io), report(std::move(to)), share(budget) {}
   asio::steady_timer timer;
+  asio::steady_timer whole;  // since the first byte of the answer
   Report report;
   std::shared_ptr<const HttpRequest> request;
   Clock::Steady::time_point until;
@@ -106,6 +111,7 @@
   void write(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void read(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void read_more(Upstream& owner, const std::shared_ptr<Attempt>& self);
+  void begin_answer(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void answered(Upstream& owner, const std::shared_ptr<Attempt>& self);
 };
 
@@ -399,7 +405,14 @@
   // head and a part of the body come together: an answer of gigabytes would be taken in. Hence piece by
   // piece.
   parser->eager(false);
-  read_more(owner, self);
+  if (connection->buffer.size() > 0) return begin_answer(owner, self);
+  // Danger: the read below tells of nothing before a head is whole, and some stop in the midst of that.
+  connection->socket.async_wait(tcp::socket::wait_read,
+                                [&owner, alive = owner.alive_, self, held = connection](error_code problem) {
+                                  if (!*alive || self->ended) return;
+                                  if (problem) return owner.finish(self, Outcome::kReset, false);
+                                  self->begin_answer(owner, self);
+                                });
 }
 
 // Danger: an attempt that ends lets go of its connection while the socket's operation is still to be called
@@ -427,11 +440,22 @@
       });
 }
 
+// Given up, it may have run: the server had the request, or it would not have begun to answer.
+void Upstream::Attempt::begin_answer(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  whole.expires_after(Clock::span(kWhole));
+  whole.async_wait([&owner, alive = owner.alive_, self](error_code cancelled) {
+    if (cancelled || !*alive || self->ended || self->whole.expiry() > Clock::Steady::now()) return;
+    owner.finish(self, Outcome::kReset, false);
+  });
+  read_more(owner, self);
+}
+
 void Upstream::Attempt::answered(Upstream& owner, const std::shared_ptr<Attempt>& self) {
   const HttpResponse& answer = parser->get();
   const unsigned status = answer.result_int();
   if (status >= 100 && status < 200) {
     if (status == 101 || ++interim > kMostInterim) return owner.finish(self, Outcome::kUnknown, false);
+    halt(whole);  // the answer itself has not begun
     return read(owner, self);
   }
   // An answer that ends with its connection may have been cut short, unless the server meant to close.
@@ -446,6 +470,7 @@
 void Upstream::finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep) {
   if (std::exchange(attempt->ended, true)) return;
   halt(attempt->timer);
+  halt(attempt->whole);
   if (attempt->pool) {
     std::deque<std::shared_ptr<Attempt>>& waiting = attempt->pool->waiting;
     const auto at = std::find(waiting.begin(), waiting.end(), attempt);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -148,6 +148,40 @@
   }
 }
 
+// Guards against an answer that stops half-way: its request would wait until its whole time is gone, though
+// another attempt could still serve it.
+void expect_served_by_another_after(const std::function<void(Wire&)>& begin_answer) {
+  std::atomic<int> asked = 0;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    if (asked++ > 0) return wire.write(http_answer(200, "whole"));
+    begin_answer(wire);
+    while (wire.more()) {  // up to the node's close
+    }
+    return false;
+  });
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(Ask{.kind = "look", .method = "GET", .body = ""}.text());
+  const std::string answer = client.read_message();
+  EXPECT_EQ(status_of(answer), 200);
+  EXPECT_EQ(body_of(answer), "whole");
+  EXPECT_TRUE(eventually([&] { return d.program->logged("s0 reset after") == 1; })) << d.program->log();
+}
+
+TEST(Outcomes, AnAnswerThatStopsInItsHeadIsGivenUp) {
+  expect_served_by_another_after([](Wire& wire) { wire.write("HTTP/1.1 200 OK\r\nContent-L"); });
+}
+TEST(Outcomes, AnAnswerThatStopsInItsBodyIsGivenUp) {
+  expect_served_by_another_after(
+      [](Wire& wire) { wire.write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf"); });
+}
+TEST(Outcomes, AnAnswerThatTricklesIsGivenUp) {
+  expect_served_by_another_after([](Wire& wire) {
+    wire.write("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n");
+    for (int i = 0; i < 1000 && wire.write("x"); ++i) std::this_thread::sleep_for(20ms);
+  });
+}
+
 TEST(Outcomes, WhatFollowsAnAnswerIsNotTheNext) {
   FakeServer server([](Wire& wire, const std::string&) {
     return wire.write(http_answer(200, "right") + http_answer(200, "wrong"));
