--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -76,6 +76,20 @@
   EXPECT_LT(others, firsts / 4 + 10);
 }
 
+// Danger: failures come in clusters. A copy that saves up a single further attempt gives up the second call
+// of each cluster, and a tier behind the first one then fails what was done above.
+TEST(Health, AClusterOfFailuresIsTriedAgain) {
+  Copy copy(roomy_settings());
+  copy.at(0, members(6));
+  play(copy, "", Outcome::kDelivered, 0, 10, 20, "calm");
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "reset" + std::to_string(i);
+    ASSERT_EQ(all<Send>(copy.request(id)).size(), 1U);
+    EXPECT_EQ(all<Send>(copy.end(id, Outcome::kReset)).size(), 1U) << i;
+    copy.end(id, Outcome::kDelivered, 1);
+  }
+}
+
 TEST(Health, AFurtherAttemptGoesElsewhere) {
   Copy copy(basic_settings());
   copy.at(0, members(3));
