Have the deploy check's log there before it is first read

The check looked into the log of the node it had just put into the background; where the shell that opens the file had not yet run, sed ended the check (1 of 500 tries of the same two lines on an idle machine).

--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -53,7 +53,8 @@
              "categories":[{"name":"look","aim":1,"giveUp":2,"effect":"safe"}]}}
 CONFIG
     run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
-    RELAY_CONFIG=config.json sh -c "$run" 2>log &
+    : >log  # there before the first look at it, whenever the node's own process gets to run
+    RELAY_CONFIG=config.json sh -c "$run" 2>>log &
     node=$!
     trap 'kill -KILL $node 2>/dev/null || true' EXIT
     for _ in $(seq 300); do
