--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -67,6 +67,7 @@
 
 constexpr double kLatencyGain = 0.05;  // weight of one sample in the latency estimates
 constexpr double kDeviations = 15;     // deviations over the mean before an attempt is given up
+constexpr double kLate = 3;            // deviations over the mean; what an attempt without an answer tells
 constexpr double kRetryShare = 0.1;    // further attempts per first one
 constexpr double kRetryBurst = 6;      // further attempts saved up at most: failures come in clusters
 constexpr double kRewatch = 0.5;       // s; first wait before asking for the members again, then doubled
@@ -593,9 +594,13 @@
       Estimate& latency = latency_[p.request_class];
       s.pace.add(latency.mean > 0 ? r.elapsed / latency.mean : 1, kPaceGain);
       s.paced_at = now_;
-      usual_.add(r.elapsed, kLatencyGain);
-      recent_.add(part_of_aim, kRecentGain);
-      latency.add(r.elapsed, kLatencyGain);
+      // Danger: an attempt without an answer lasts as long as it was let. Taken for an answer time it makes
+      // the next time-out longer, and that one the next, until none ends while another can follow.
+      const double most = answered ? r.elapsed : latency.mean + kLate * latency.deviation;
+      const double told = std::min(r.elapsed, most);
+      usual_.add(told, kLatencyGain);
+      recent_.add(aim > 0 ? told / aim : 0, kRecentGain);
+      latency.add(told, kLatencyGain);
     }
     if (answered) {
       // Danger: a call that was not answered, here or in a tier behind, lasts as long as it may. One such
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -90,6 +90,30 @@
   }
 }
 
+// Danger: an attempt that gets no answer lasts as long as it was let. Where a fifth end so, each would make
+// the next time-out longer, until none is given up while another can follow.
+TEST(Health, TimeOutsDoNotMakeTimeOutsLonger) {
+  Copy copy(roomy_settings());
+  copy.at(0, members(6));
+  const auto let = [&copy](int i, bool stuck) {
+    copy.now = i * 0.02;
+    const std::string id = std::to_string(i);
+    const auto sends = all<Send>(copy.request(id));
+    if (sends.empty()) return 0.0;
+    copy.end(id, stuck ? Outcome::kTimedOut : Outcome::kDelivered, 0,
+             stuck ? sends[0].timeout : 0.08 + 0.04 * (i % 2));
+    if (stuck) copy.end(id, Outcome::kDelivered, 1);
+    return sends[0].timeout;
+  };
+  for (int i = 0; i < 500; ++i) let(i, false);
+  const double calm = let(500, false);
+  EXPECT_LT(calm, 0.5);
+  for (int i = 501; i < 1000; ++i) let(i, i % 5 == 0);
+  const double after = let(1000, false);
+  EXPECT_GT(after, 0);
+  EXPECT_LT(after, 3 * calm);
+}
+
 TEST(Health, AFurtherAttemptGoesElsewhere) {
   Copy copy(basic_settings());
   copy.at(0, members(3));
