--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -35,8 +35,11 @@
 // more have gone by: by then all that was taken is answered. Clients go on using their connections as long as
 // these stay open, and where no other node stands beside this one they have nowhere else to go.
 constexpr double kMostDrain = 3;
-constexpr double kLastAnswer = 0.35;   // after that longest wait, or 3 s
-constexpr double kLastRequest = 0.6;   // before it
+constexpr double kLastAnswer = 0.35;  // after that longest wait, or 3 s
+constexpr double kLastRequest = 0.6;  // before it
+// Of its connections that a drain keeps free, one in so many. Danger: no new ones come any more, and clients
+// that once find none free turn from the node for good, though it could serve them for seconds.
+constexpr std::size_t kFreePart = 8;
 constexpr double kAcceptOn = 0.5;      // s; of accepting after the drain has begun
 constexpr double kAcceptPause = 0.02;  // s; after an accept that failed
 constexpr std::size_t kReadSize = 4096;
@@ -277,7 +280,10 @@
       const std::chrono::duration<double> left = owner_->last_answer_ - Clock::Steady::now();
       event.time_left = std::min(event.time_left, left.count());
     }
-    if (turned_away_ || event.time_left <= 0) return respond(refusal(owner_->limits_.busy_retry_after));
+    const bool last_free = owner_->draining_ && owner_->idle_.size() + owner_->strangers_.size() <
+                                                    owner_->sessions_.size() / kFreePart;
+    if (turned_away_ || last_free || event.time_left <= 0)
+      return respond(refusal(owner_->limits_.busy_retry_after));
     id_ = event.id;
     drop_hop_by_hop(*request_);
     request_->erase("X-Timeout-Ms");
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -499,6 +499,39 @@
   EXPECT_LT(std::chrono::steady_clock::now() - start, 10s) << "the client would have waited 15 s";
 }
 
+// Guards against clients that find no free connection once, while no new ones come, and turn from a node that
+// could serve them for seconds.
+TEST(Life, ADrainingNodeKeepsAConnectionFree) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  const std::string health = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+  std::vector<Wire> clients;
+  for (int i = 0; i < 8; ++i) {
+    clients.push_back(d.client());
+    clients.back().write(health);
+    ASSERT_EQ(status_of(clients.back().read_message()), 200);
+  }
+  Wire& last = clients.back();
+  d.program->signal(SIGTERM);
+  ASSERT_TRUE(eventually([&] {
+    last.write(health);
+    return status_of(last.read_message()) == 503;
+  }));
+  for (std::size_t i = 0; i < 7; ++i) clients[i].write(Ask{.id = "r" + std::to_string(i)}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 7; }));
+  last.write(Ask{.id = "eighth"}.text());
+  EXPECT_EQ(status_of(last.read_message()), 503) << "one in eight is kept free";
+  gate.open();
+  for (std::size_t i = 0; i < 7; ++i) EXPECT_EQ(status_of(clients[i].read_message()), 200);
+  last.write(Ask{.id = "again"}.text());
+  EXPECT_EQ(status_of(last.read_message()), 200);
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
 TEST(Life, AFirstRequestThatCrossesTheDrainIsServed) {
   FakeServer server(replies(200, "ok"));
   Deployment d({&server});
