Take servers out and put them back by hand, in the module

A server that operators took out counts as draining until the call that puts it back, whatever the list says meanwhile, also if it leaves and comes again.

--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -136,11 +136,18 @@
   std::uint64_t token = 0;
 };
 
+// Operators have taken a server out by hand, or put it back. Out, it counts as draining whatever the
+// membership says, and also if it leaves and comes again; back, it counts as just started.
+struct ServerSwitched {
+  std::string address;
+  bool enabled = true;
+};
+
 // The copy starts: the first event, so that it can ask for what it needs.
 struct Started {};
 
-using Event =
-    std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate, TimerFired>;
+using Event = std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate,
+                           TimerFired, ServerSwitched>;
 
 // ---------------------------------------------------------------- actions
 
@@ -207,6 +214,8 @@
   TenantView tenant(double now, std::size_t tenant) const;
   // How many servers are remembered: those listed, and those that left while requests named them.
   std::size_t servers() const;
+  // Listed servers that get no new calls now: taken out by hand, or shunned for their failures.
+  std::size_t servers_avoided(double now) const;
 
  private:
   class Impl;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <limits>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "support.h"
 #include "thymewood/balancer.h"
@@ -108,6 +109,7 @@
 struct ServerNode {
   Server told;
   std::uint64_t order = 0, listed = 0;  // listed: in which membership update it was told last
+  bool banned = false;                  // taken out by hand
   int in_flight = 0, named = 0;         // named: by attempts of open requests, ended ones too
   bool forgotten = false;               // its place is free for another
   double failing = 0, failing_at = 0;   // failure average and when it was last brought up to date
@@ -117,9 +119,9 @@
   IdleTime idle;
   Estimate recent;  // answer time now, as a part of the aim
   bool slow = false;
-  double met_at = 0;
-  Estimate pace{1, 0, 0};             // answer time against the usual of the same class
-  double paced_at = 0, sent_sum = 0;  // sent_sum: over the calls in flight, of when they were sent
+  double met_at = 0, enabled_at = -kForever;  // enabled: when it was put back by hand
+  Estimate pace{1, 0, 0};                     // answer time against the usual of the same class
+  double paced_at = 0, sent_sum = 0;          // sent_sum: over the calls in flight, of when they were sent
 };
 
 }  // namespace
@@ -163,6 +165,12 @@
 
   std::size_t servers() const { return servers_.size() - unused_.size(); }
 
+  std::size_t servers_avoided(double now) const {
+    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const ServerNode& s) {
+      return s.told.state != ServerState::kGone && (s.banned || failing(s, now) >= kIll);
+    }));
+  }
+
   TenantView view(double now, std::size_t tenant) const {
     const TenantState& t = tenants_[std::min(tenant, tenants_.size() - 1)];
     const SlidingWindow::Sums sums = t.window.sums(now);
@@ -238,21 +246,28 @@
     }
     if (unknown) servers_[it->second].order = hash_of(told.address);
     ServerNode& s = servers_[it->second];
-    if (unknown || told.started != s.told.started || s.told.state == ServerState::kGone) {
-      ServerNode fresh;  // another process: what the last one did says nothing
-      fresh.order = s.order;
-      fresh.in_flight = s.in_flight;
-      fresh.named = s.named;
-      fresh.sent_sum = s.sent_sum;
-      fresh.met_at = fresh.cold_at = now_;
-      fresh.cold_tokens = random_.unit();  // copies hear of a start together and must not send together
-      s = fresh;
-    }
+    if (unknown || told.started != s.told.started || s.told.state == ServerState::kGone) forget_process(s);
+    s.banned = banned_.contains(told.address);
     s.told = told;
     s.listed = listing_;
     if (!(s.told.weight > 0)) s.told.weight = 1;
   }
 
+  // Another process: what the last one did says nothing.
+  void forget_process(ServerNode& s) {
+    ServerNode fresh;
+    fresh.told = s.told;
+    fresh.order = s.order;
+    fresh.listed = s.listed;
+    fresh.in_flight = s.in_flight;
+    fresh.named = s.named;
+    fresh.sent_sum = s.sent_sum;
+    fresh.enabled_at = s.enabled_at;
+    fresh.met_at = fresh.cold_at = now_;
+    fresh.cold_tokens = random_.unit();  // copies hear of a start together and must not send together
+    s = fresh;
+  }
+
   // Guards against a list that holds every server there ever was, where new ones come all day. Danger:
   // attempts of open requests name their servers, also those that have ended: their cell binds where the next
   // may go.
@@ -282,7 +297,7 @@
     ring_.clear();
     ready_weight_ = 0;
     for (std::size_t i = 0; i < servers_.size(); ++i) {
-      if (servers_[i].told.state != ServerState::kReady) continue;
+      if (servers_[i].told.state != ServerState::kReady || servers_[i].banned) continue;
       ring_.push_back(i);
       ready_weight_ += servers_[i].told.weight;
     }
@@ -300,12 +315,13 @@
   // ---------------------------------------------------------------- is it healthy?
 
   // The failure average now: it fades, the slower the more failures came in a row.
-  double failing(const ServerNode& s) const {
+  static double failing(const ServerNode& s, double now) {
     if (s.failing == 0) return 0;
     const double left =
-        s.failing * std::exp2((s.failing_at - now_) / (kFailHalfLife * (1 + s.failures_in_row)));
+        s.failing * std::exp2((s.failing_at - now) / (kFailHalfLife * (1 + s.failures_in_row)));
     return left < kTrusted ? 0 : left;
   }
+  double failing(const ServerNode& s) const { return failing(s, now_); }
 
   void note_health(ServerNode& s, bool good) {
     s.failing = failing(s) + kFailGain * ((good ? 0 : 1) - failing(s));
@@ -369,8 +385,10 @@
 
   // The part of its full capacity that a server is sure to have by now.
   double warmth(const ServerNode& s) const {
-    if (s.told.started == 0 || settings_.ramp_time <= 0) return 1;
-    const double age = std::max(0.0, now_ - s.told.started);
+    const bool long_ago = s.told.started == 0;
+    if ((long_ago && s.enabled_at == -kForever) || settings_.ramp_time <= 0) return 1;
+    const double started = long_ago ? s.enabled_at : std::max(s.told.started, s.enabled_at);
+    const double age = std::max(0.0, now_ - started);
     return std::min(1.0,
                     settings_.start_capacity + (1 - settings_.start_capacity) * age / settings_.ramp_time);
   }
@@ -397,10 +415,13 @@
     return std::max({1.0, learned, waited});  // like servers stay a tie, which calls in flight decide
   }
 
+  // Danger: where calls are few all are idle, and one that was put back by hand would lose each draw until it
+  // is warm. Its budget bounds what it gets.
   double busyness(const ServerNode& s) const {
+    const double warm = s.in_flight == 0 && s.enabled_at > -kForever ? 1 : warmth(s);
     const double trust = std::pow(1 - std::min(failing(s), 0.99), kFailPower);
     return (s.in_flight + 1) * pace(s) * (is_away(s) ? 1 + kPriceWeight * settings_.cross_zone_price : 1) /
-           (s.told.weight * warmth(s) * trust);
+           (s.told.weight * warm * trust);
   }
 
   bool in_scope(const Pending& p, const ServerNode& s) const {
@@ -650,6 +671,21 @@
     rebuild_subset();
   }
 
+  // Danger: a server is restarted while it is out, and the list may tell of that late or not at all. Taken
+  // for warm it would be pushed over.
+  void on(const ServerSwitched& e) {
+    if (!(e.enabled ? banned_.erase(e.address) > 0 : banned_.insert(e.address).second)) return;
+    const auto at = by_address_.find(e.address);
+    if (at == by_address_.end()) return;
+    ServerNode& s = servers_[at->second];
+    s.banned = !e.enabled;
+    if (e.enabled) {
+      s.enabled_at = now_;
+      forget_process(s);
+    }
+    rebuild_subset();
+  }
+
   void on(const TimerFired& timer) {
     if (timer.token == kWatchTimer && settings_.must_watch) out_->push_back(WatchMembers{});
   }
@@ -667,7 +703,8 @@
   std::vector<Estimate> latency_;                 // by class
   std::vector<ServerNode> servers_;
   std::unordered_map<std::string, std::size_t> by_address_;
-  std::vector<std::size_t> unused_;  // places of servers that were forgotten
+  std::vector<std::size_t> unused_;         // places of servers that were forgotten
+  std::unordered_set<std::string> banned_;  // by hand, listed or not; looked up, never walked
   std::vector<std::size_t> ring_, subset_, choice_;
   double ready_weight_ = 0, sharers_ = 1;  // sharers: copies that use the same server
   FadingRate admitted_{kAdmittedMemory}, answered_{kAnsweredMemory};
@@ -692,6 +729,8 @@
 
 std::size_t Balancer::servers() const { return impl_->servers(); }
 
+std::size_t Balancer::servers_avoided(double now) const { return impl_->servers_avoided(now); }
+
 TenantView Balancer::tenant(double now, std::size_t tenant) const { return impl_->view(now, tenant); }
 
 }  // namespace thymewood
