Let operators call, count the figures, and serve beside a predecessor

At SIGTERM a node with an inherited listener stops accepting at once, leaves the socket to its successor, and lets callers go with their next answer.

--- a/node/config.cpp
+++ b/node/config.cpp
@@ -57,6 +57,7 @@
   out.name = json::find(in, "name") != nullptr ? std::string(json::text(in, "name")) : "node";
   out.listen = read_endpoint(in, "listen");
   out.discovery = read_endpoint(in, "discovery");
+  if (json::find(in, "ops") != nullptr) out.ops = read_endpoint(in, "ops");
   out.seed = read_seed(in);
   constexpr int kUsualSockets = 1024, kFewestSockets = 64;
   const json::Value* limits = json::find(in, "limits");
--- a/node/config.h
+++ b/node/config.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> ops;  // where operators call, if they do
   std::uint64_t seed = 0;
   std::size_t memory = 0;    // bytes that the process may take
   std::size_t sockets = 0;   // descriptors that the process may hold
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <exception>
 #include <iostream>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -108,41 +109,63 @@
   settle(id);
 }
 
+void Dispatcher::told(const Membership& update) {
+  has_list_ = true;
+  members(update);
+}
+
 void Dispatcher::members(const Membership& update) {
   MembershipUpdate event;
   event.form = update.full ? MembershipUpdate::Form::kFull : MembershipUpdate::Form::kChanges;
-  const auto set_ready = [this](bool& held, bool ready) {
-    ready_ += ready ? 1 : 0;
-    ready_ -= held ? 1 : 0;
-    held = ready;
-  };
-  std::unordered_map<std::string, bool> listed;
+  std::set<std::string> named;
   for (const Member& member : update.members) {
-    const Server& server = member.server;
-    const bool ready = server.state == ServerState::kReady;
-    set_ready(ready_by_name_[server.address], ready);
-    if (server.state == ServerState::kGone) {
-      upstream_.retire(server.address);
-      ready_by_name_.erase(server.address);
+    const std::string& name = member.server.address;
+    if (member.server.state == ServerState::kGone) {
+      upstream_.retire(name);
+      listed_.erase(name);
     } else {
-      upstream_.place(server.address, member.endpoint, server.started, ready);
+      listed_[name] = member;
+      upstream_.place(name, member.endpoint, member.server.started, is_usable(member));
     }
-    listed[server.address] = true;
-    event.servers.push_back(server);
+    named.insert(name);
+    event.servers.push_back(member.server);
   }
   // What a full list lacks is gone.
-  for (auto at = ready_by_name_.begin(); at != ready_by_name_.end();) {
-    if (update.full && !listed.contains(at->first)) {
-      set_ready(at->second, false);
+  for (auto at = listed_.begin(); at != listed_.end();) {
+    if (update.full && !named.contains(at->first)) {
       upstream_.retire(at->first);
-      at = ready_by_name_.erase(at);
+      at = listed_.erase(at);
     } else {
       ++at;
     }
   }
+  count_ready();
   happen(std::move(event));
 }
 
+void Dispatcher::count_ready() {
+  ready_ = static_cast<std::size_t>(std::count_if(
+      listed_.begin(), listed_.end(), [this](const auto& entry) { return is_usable(entry.second); }));
+}
+
+void Dispatcher::take_out(const std::set<std::string>& servers) {
+  std::vector<std::string> changed;
+  std::set_symmetric_difference(out_.begin(), out_.end(), servers.begin(), servers.end(),
+                                std::back_inserter(changed));
+  out_ = servers;
+  for (const std::string& name : changed) {
+    const bool enabled = !out_.contains(name);
+    std::clog << (enabled ? "enabled by hand: " : "disabled by hand: ") << name << '\n';
+    const auto at = listed_.find(name);
+    if (at != listed_.end()) {
+      const Member& member = at->second;
+      upstream_.place(name, member.endpoint, member.server.started, is_usable(member));
+    }
+    happen(ServerSwitched{name, enabled});
+  }
+  count_ready();
+}
+
 void Dispatcher::watch_failed() {
   happen(MembershipUpdate{MembershipUpdate::Form::kFailed, {}});
   if (must_watch_) return;
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,13 +40,21 @@
   // The list that is known from before, if any, then the start.
   void start(const Membership& known);
   bool can_serve() const { return ready_ > 0; }
+  // Whether discovery has told anything yet, beside what is known from before.
+  bool has_list() const { return has_list_; }
+  bool is_listed(const std::string& server) const { return listed_.contains(server); }
+  std::size_t listed() const { return listed_.size(); }
+  std::size_t avoided() const { return balancer_.servers_avoided(clock_.now()); }
+  // The servers that operators have taken out, listed or not.
+  void take_out(const std::set<std::string>& servers);
 
   // Takes a request whose client waits until `event.time_left` from now. The answer may come at once.
   void take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to);
   // Whether a request of this id is open, or has attempts out.
   bool holds(const std::string& id) const { return held_.contains(id); }
   void client_gone(const std::string& id);
-  void members(const Membership& update);
+  // What discovery tells, and that it has stopped telling.
+  void told(const Membership& update);
   void watch_failed();
 
  private:
@@ -64,6 +73,11 @@
     bool any_open() const;
   };
 
+  bool is_usable(const Member& member) const {
+    return member.server.state == ServerState::kReady && !out_.contains(member.server.address);
+  }
+  void members(const Membership& update);
+  void count_ready();
   void happen(Event event);
   void handle(const Event& event);
   void attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
@@ -91,8 +105,10 @@
   Upstream& upstream_;
   std::function<void()> watch_;
   std::unordered_map<std::string, Held> held_;
-  std::unordered_map<std::string, bool> ready_by_name_;
-  std::size_t ready_ = 0;
+  std::unordered_map<std::string, Member> listed_;
+  std::set<std::string> out_;  // by hand
+  std::size_t ready_ = 0;      // that may get work
+  bool has_list_ = false;
   std::deque<Event> events_;
   bool handling_ = false, failed_ = false, module_failed_ = false;
   double paths_since_ = 0;  // when the count of logged paths began, anew each second
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -111,6 +111,7 @@
     Frontend* owner = std::exchange(owner_, nullptr);
     if (owner == nullptr) return;
     if (waiting) owner->dispatcher_.client_gone(id_);
+    if (counted_ != nullptr) owner->metrics_.ended(*std::exchange(counted_, nullptr), End::kFailed);
     owner->ended(*this);
   }
   void orphan() {
@@ -258,6 +259,7 @@
     if (!check_framing()) return;
     request_ = parser_->release();
     keep_alive_ = request_->keep_alive();
+    counted_ = nullptr;
     if (path_of(*request_) == "/_health") {
       if (request_->method() != http::verb::get && request_->method() != http::verb::head) {
         return reject({http::status::method_not_allowed, "GET only"});
@@ -273,6 +275,8 @@
       return reject({http::status::bad_request, "X-Request-ID is that of an open request"}, false);
     }
     proven_ = true;
+    counted_ = &owner_->catalog_.class_names[event.request_class];
+    owner_->metrics_.taken();
     const auto message = std::make_shared<Message>(owner_->budget_);
     share_.keep(ahead_.capacity());  // the rest goes with the request
     if (!message->share.hold(kHeadCost + request_->body().capacity()))
@@ -281,8 +285,9 @@
       const std::chrono::duration<double> left = owner_->last_answer_ - Clock::Steady::now();
       event.time_left = std::min(event.time_left, left.count());
     }
-    const bool last_free = owner_->draining_ && owner_->idle_.size() + owner_->strangers_.size() <
-                                                    owner_->sessions_.size() / kFreePart;
+    const bool last_free =
+        owner_->draining_ && !owner_->adopted_ &&
+        owner_->idle_.size() + owner_->strangers_.size() < owner_->sessions_.size() / kFreePart;
     if (turned_away_ || last_free || event.time_left <= 0)
       return respond(refusal(owner_->limits_.busy_retry_after));
     id_ = event.id;
@@ -303,6 +308,18 @@
 
   // ---------------------------------------------------------------- answers
 
+  static End end_of(http::status status) {
+    if (status == http::status::ok) return End::kServed;
+    const bool refused =
+        status == http::status::service_unavailable || status == http::status::too_many_requests;
+    return refused ? End::kRefused : End::kFailed;
+  }
+
+  // The last byte of the answer to a request that was taken is written.
+  void count(End how) {
+    if (counted_ != nullptr) owner_->metrics_.ended(*std::exchange(counted_, nullptr), how);
+  }
+
   static HttpResponse plain(http::status status, const std::string& text) {
     HttpResponse out(status, 11);
     out.set(http::field::content_type, "text/plain");
@@ -340,7 +357,7 @@
     if (proven_) unlist();
     state_ = State::kWriting;
     share_.keep(ahead_.capacity() + response.body().size());
-    if (owner_->closing_ || turned_away_) keep_alive_ = false;
+    if (owner_->closing_ || owner_->is_handing_over() || turned_away_) keep_alive_ = false;
     response_ = std::move(response);
     response_.version(11);
     response_.keep_alive(keep_alive_);
@@ -349,6 +366,7 @@
     http::async_write(socket_, response_, [self = shared_from_this()](error_code bad, std::size_t) {
       if (self->owner_ == nullptr || self->state_ != State::kWriting) return;
       if (bad) return self->close();
+      self->count(end_of(self->response_.result()));
       self->response_ = {};
       self->share_.keep(self->ahead_.capacity());
       if (!self->keep_alive_) return self->linger();
@@ -381,10 +399,11 @@
   asio::steady_timer timer_;
   bool turned_away_;
   State state_ = State::kReading;
-  bool reading_ = false;  // a read is out
-  bool proven_ = false;   // has asked for something that can be served
-  bool pause_ = false;    // after this answer
-  bool begun_ = false;    // a byte of the request has come
+  bool reading_ = false;                  // a read is out
+  bool proven_ = false;                   // has asked for something that can be served
+  bool pause_ = false;                    // after this answer
+  bool begun_ = false;                    // a byte of the request has come
+  const std::string* counted_ = nullptr;  // the class of a request that was taken and has no whole answer yet
   bool keep_alive_ = true, continue_sent_ = false;
   std::array<char, kReadSize> scratch_{};
   boost::beast::flat_buffer ahead_;
@@ -399,7 +418,7 @@
 };
 
 Frontend::Frontend(asio::io_context& io, const Limits& limits, Catalog catalog, Budget& budget,
-                   Dispatcher& dispatcher)
+                   Dispatcher& dispatcher, Metrics& metrics)
     : io_(io),
       acceptor_(io),
       timer_(io),
@@ -407,6 +426,7 @@
       catalog_(std::move(catalog)),
       budget_(budget),
       dispatcher_(dispatcher),
+      metrics_(metrics),
       spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {}
 
 void Frontend::listen(const tcp::endpoint& where) {
@@ -416,6 +436,11 @@
   acceptor_.listen(kBacklog);
 }
 
+void Frontend::adopt(int listener) {
+  acceptor_.assign(tcp::v4(), listener);
+  adopted_ = true;
+}
+
 Frontend::~Frontend() {
   for (const std::shared_ptr<Session>& session : sessions_) session->orphan();
   if (spare_ >= 0) ::close(spare_);
@@ -495,7 +520,13 @@
     const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(seconds));
     timer->async_wait([this, timer, step](error_code) { (this->*step)(); });
   };
-  after(kAcceptOn, &Frontend::stop_accepting);
+  if (adopted_) {
+    error_code ignored;
+    acceptor_.close(ignored);  // others hold it open, and what waits there is theirs
+    end_if_drained();
+  } else {
+    after(kAcceptOn, &Frontend::stop_accepting);
+  }
   after(std::max(kAcceptOn, longest - kLastRequest), &Frontend::close_idle);
 }
 
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -13,6 +13,7 @@
 
 #include "budget.h"
 #include "dispatcher.h"
+#include "metrics.h"
 #include "validation.h"
 
 namespace thymewood::node {
@@ -26,24 +27,29 @@
   };
 
   Frontend(boost::asio::io_context& io, const Limits& limits, Catalog catalog, Budget& budget,
-           Dispatcher& dispatcher);
+           Dispatcher& dispatcher, Metrics& metrics);
   ~Frontend();
   Frontend(const Frontend&) = delete;
   Frontend& operator=(const Frontend&) = delete;
 
   // Throws boost::system::system_error when the address can't be listened on.
   void listen(const boost::asio::ip::tcp::endpoint& where);
+  // Serves on a listening socket that others hold too: a drain leaves what waits there to them.
+  void adopt(int listener);
   void start();
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
   // Goes on accepting for a while and serving for a while longer, sees to it that all that was taken is
-  // answered before the node is killed, and calls `done` when no connection is left.
+  // answered before the node is killed, and calls `done` when no connection is left. With an adopted listener
+  // it stops accepting at once, and each caller is let go with its next answer.
   void drain(std::function<void()> done);
+  bool draining() const { return draining_; }
 
  private:
   class Session;
   friend class Session;
 
+  bool is_handing_over() const { return draining_ && adopted_; }
   void accept();
   void accept_failed();
   void admit(boost::asio::ip::tcp::socket socket);
@@ -60,12 +66,14 @@
   Catalog catalog_;
   Budget& budget_;
   Dispatcher& dispatcher_;
+  Metrics& metrics_;
   std::list<std::shared_ptr<Session>> sessions_;
   // Those that may be closed for others, the one that has waited the longest first: callers that never asked
   // for anything that can be served, and those between two requests.
   std::list<Session*> strangers_, idle_;
   int spare_ = -1;  // a descriptor in reserve
   bool accepting_ = false, draining_ = false, closing_ = false;
+  bool adopted_ = false;                   // the listening socket: a successor serves on it
   Clock::Steady::time_point last_answer_;  // of a drain
   std::function<void()> drained_;
 };
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -7,6 +7,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
+#include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -15,6 +18,9 @@
 #include "discovery.h"
 #include "dispatcher.h"
 #include "frontend.h"
+#include "metrics.h"
+#include "ops.h"
+#include "upgrade.h"
 #include "upstream.h"
 
 namespace {
@@ -28,18 +34,22 @@
 constexpr std::size_t kMessagePart = 3;
 
 // How the descriptors are shared out. Danger: a request that was accepted and has no descriptor left for its
-// attempt can only be refused.
+// attempt can only be refused. With a successor beside it, the two stay within the limit together: callers
+// are dealt out between them, all else each has for itself.
 struct Shares {
-  explicit Shares(std::size_t sockets) {
+  Shares(std::size_t sockets, bool operators, bool successor) {
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
       sockets = std::min<std::size_t>(sockets, limit.rlim_cur);
     }
-    constexpr std::size_t kReserve = 24;  // the loop's own, discovery, the log, the listener and a spare
-    const std::size_t free = sockets > 2 * kReserve ? sockets - kReserve : kReserve;
+    // The loop's own, discovery, the log, the listener and a spare.
+    const std::size_t own = 24 + (operators ? node::Ops::kMostCallers + 1 : 0);
+    const std::size_t processes = successor ? 2 : 1;
+    const std::size_t reserve = own * processes;
+    const std::size_t free = sockets > 2 * reserve ? sockets - reserve : reserve;
     clients = free / 2;
     overflow = free / 8;
-    upstream = free - clients - overflow;
+    upstream = (free - clients - overflow) / processes;
   }
   std::size_t clients = 0, overflow = 0, upstream = 0;
 };
@@ -59,20 +69,42 @@
 
 // At each SIGHUP: the file is read again, and discovery followed to where it says. All else stays as it is.
 void reload_on(asio::signal_set& hangups, const char* path, const node::Clock& clock,
-               node::Discovery& discovery) {
-  hangups.async_wait([&hangups, path, &clock, &discovery](boost::system::error_code bad, int) {
+               node::Discovery& discovery, node::Metrics& metrics) {
+  hangups.async_wait([&hangups, path, &clock, &discovery, &metrics](boost::system::error_code bad, int) {
     if (bad) return;
     try {
       const node::Config config = node::read_config(path, clock);
       discovery.move_to(config.discovery);
+      metrics.reloaded(true);
       std::clog << "reload: discovery at " << config.discovery << '\n';
     } catch (const std::exception& problem) {
+      metrics.reloaded(false);
       std::clog << "reload: " << problem.what() << "; all stays as it was\n";
     }
-    reload_on(hangups, path, clock, discovery);
+    reload_on(hangups, path, clock, discovery, metrics);
   });
 }
 
+// s from the start; until then a node that discovery has told nothing is not ready, though it knows a list
+// from before: that may be old, and where one process takes over from another the old one still serves.
+constexpr double kListWait = 3;
+
+node::Ops::Calls operators_calls(const node::Clock& clock, node::Dispatcher& dispatcher,
+                                 node::Frontend& frontend, node::Metrics& metrics, node::Bans& bans) {
+  return {[&] {
+            return dispatcher.can_serve() && !frontend.draining() &&
+                   (dispatcher.has_list() || clock.now() >= kListWait);
+          },
+          [&] {
+            return metrics.text({dispatcher.listed(), dispatcher.avoided()});
+          },
+          [&](const std::string& id, bool enable) -> std::string {
+            if (!dispatcher.is_listed(id) && !bans.out().contains(id)) return "unknown server";
+            bans.set(id, !enable);
+            return "";
+          }};
+}
+
 int run(const char* path) {
   // Danger: a signal that comes before these stand would end the process. What comes between here and the
   // first wait is kept for it.
@@ -81,37 +113,60 @@
   asio::signal_set hangups(io, SIGHUP), signals(io, SIGTERM, SIGINT);
   const node::Clock clock;
   node::Config config;
+  std::optional<int> listener;
   try {
     config = node::read_config(path, clock);
+    // The environment is this process's own; the file may be one that two processes share.
+    if (const char* ops = std::getenv("RELAY_OPS"); ops != nullptr && *ops != '\0') {
+      config.ops = node::parse_endpoint(ops);
+      if (!config.ops) throw std::runtime_error("RELAY_OPS: not an address with a port");
+    }
+    listener = node::inherited_listener(std::getenv("RELAY_LISTEN_FD"));
   } catch (const std::exception& problem) {
     std::cerr << "thymewood: " << problem.what() << '\n';
     return kBadConfiguration;
   }
-  const Shares shares(config.sockets);
+  const Shares shares(config.sockets, config.ops.has_value(), listener.has_value());
   const thymewood::Settings& settings = config.settings;
-  budget.limit(config.memory / kMessagePart);
-  node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream}, budget);
+  budget.limit(config.memory / kMessagePart / (listener ? 2 : 1));
+  node::Metrics metrics;
+  metrics.show(config.class_names);
+  node::Upstream upstream(io, {config.dial_timeout, config.idle_close, shares.upstream}, budget, metrics);
   node::Dispatcher* to = nullptr;
   node::Discovery discovery(
       io, config.discovery, config.directory, clock,
-      {[&to](const node::Membership& update) { to->members(update); }, [&to] { to->watch_failed(); }});
+      {[&to](const node::Membership& update) { to->told(update); }, [&to] { to->watch_failed(); }});
   discovery.set_index(config.known.index);
   try {
     node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
                                 [&discovery] { discovery.watch(); });
     to = &dispatcher;
     node::Frontend frontend(io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
-                            {config.class_names, config.tenant_names, settings.classes}, budget, dispatcher);
+                            {config.class_names, config.tenant_names, settings.classes}, budget, dispatcher,
+                            metrics);
+    const char* directory = std::getenv("TMPDIR");
+    node::Bans bans(io, directory != nullptr ? directory : "",
+                    [&dispatcher](const std::set<std::string>& out) { dispatcher.take_out(out); });
+    node::Ops ops(io, operators_calls(clock, dispatcher, frontend, metrics, bans));
     try {
-      frontend.listen(config.listen);
+      if (listener) {
+        frontend.adopt(*listener);
+      } else {
+        frontend.listen(config.listen);
+      }
+      if (config.ops) ops.listen(*config.ops);
     } catch (const boost::system::system_error& problem) {
       std::cerr << "thymewood: listen: " << problem.code().message() << '\n';
       return kBadConfiguration;
     }
+    // Danger: bans that came after the first request would let it go to a server that is out.
+    bans.load();
+    if (listener) bans.follow();
     dispatcher.start(config.known);
     frontend.start();
+    if (config.ops) std::clog << "thymewood " << config.name << ": operators at " << ops.local() << '\n';
     std::clog << "thymewood " << config.name << ": listening on " << frontend.local() << '\n';
-    reload_on(hangups, path, clock, discovery);
+    reload_on(hangups, path, clock, discovery, metrics);
     signals.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) frontend.drain([&io] { io.stop(); });
     });
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -115,8 +115,8 @@
   void answered(Upstream& owner, const std::shared_ptr<Attempt>& self);
 };
 
-Upstream::Upstream(asio::io_context& io, const Limits& limits, Budget& budget)
-    : io_(io), limits_(limits), budget_(budget) {}
+Upstream::Upstream(asio::io_context& io, const Limits& limits, Budget& budget, Metrics& metrics)
+    : io_(io), limits_(limits), budget_(budget), metrics_(metrics) {}
 
 Upstream::~Upstream() {
   *alive_ = false;
@@ -392,6 +392,7 @@
     }
   }
   sent = true;
+  owner.metrics_.attempt_written();
   wire = {};
   share.keep(0);
   read(owner, self);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -12,6 +12,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "message.h"
+#include "metrics.h"
 #include "thymewood/balancer.h"
 
 namespace thymewood::node {
@@ -29,7 +30,7 @@
   class Attempt;
   using Handle = std::weak_ptr<Attempt>;
 
-  Upstream(boost::asio::io_context& io, const Limits& limits, Budget& budget);
+  Upstream(boost::asio::io_context& io, const Limits& limits, Budget& budget, Metrics& metrics);
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -69,6 +70,7 @@
   boost::asio::io_context& io_;
   Limits limits_;
   Budget& budget_;
+  Metrics& metrics_;
   std::map<std::string, std::shared_ptr<Pool>> pools_;
   std::size_t connections_ = 0;  // dialling ones too
   // Outlived by no handler that looks at it: what is left in the event loop at the end sees that we are gone.
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -408,7 +408,10 @@
 // The program under test.
 class Program {
  public:
-  explicit Program(const std::string& config, rlim_t descriptors = 0, bool wait_for_start = true) {
+  using Environment = std::map<std::string, std::string>;
+
+  explicit Program(const std::string& config, rlim_t descriptors = 0, bool wait_for_start = true,
+                   const Environment& environment = {}, int inherited = -1) {
     static std::atomic<int> count = 0;
     base_ = testing::TempDir() + "/node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
     std::ofstream(base_ + ".json") << config;
@@ -419,6 +422,9 @@
       ::dup2(out, 1);
       ::dup2(out, 2);
       ::setenv("RELAY_CONFIG", file.c_str(), 1);
+      ::unsetenv("TMPDIR");
+      for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
+      if (inherited >= 0) ::dup2(inherited, kInherited);
       if (descriptors > 0) {
         const rlimit limit{descriptors, descriptors};
         ::setrlimit(RLIMIT_NOFILE, &limit);
@@ -442,16 +448,19 @@
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
 
+  static constexpr int kInherited = 7;
+
   int port() {
-    if (port_ == 0) {
-      const std::string text = log();
-      const std::size_t at = text.find("listening on 127.0.0.1:");
-      if (at != std::string::npos && text.find('\n', at) != std::string::npos) {
-        port_ = std::stoi(text.substr(at + 23));
-      }
-    }
+    if (port_ == 0) port_ = logged_port("listening on 127.0.0.1:");
     return port_;
   }
+  int operators_port() const { return logged_port("operators at 127.0.0.1:"); }
+  // What a call on the operators' line is answered.
+  std::string call(const std::string& line) const {
+    Wire wire = Wire::to(operators_port());
+    wire.write(line + "\n");
+    return wire.read_rest();
+  }
   std::string log() const {
     std::ifstream in(base_ + ".log");
     std::stringstream out;
@@ -485,13 +494,20 @@
   }
 
  private:
+  int logged_port(const std::string& before) const {
+    const std::string text = log();
+    const std::size_t at = text.find(before);
+    if (at == std::string::npos || text.find('\n', at) == std::string::npos) return 0;
+    return std::stoi(text.substr(at + before.size()));
+  }
+
   std::string base_;
   pid_t pid_ = -1;
   int port_ = 0, status_ = 0;
 };
 
 struct ConfigText {
-  std::string discovery = "127.0.0.1:9", known = "", listen = "127.0.0.1:0", mode = "subscribe";
+  std::string discovery = "127.0.0.1:9", known = "", listen = "127.0.0.1:0", mode = "subscribe", ops = "";
   int sockets = 256, memory_mb = 192;
   std::string bounds = R"("cancel":true,"maxAttempts":3,"maxRetryAfter":2.0,"retryAfter":true,)"
                        R"("secondCopies":true,"dialTimeout":0.5,"idleClose":60.0)";
@@ -500,6 +516,7 @@
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
            R"(,"sockets":)" + std::to_string(sockets) + "}," +
            (known.empty() ? "" : R"("known":)" + known + ",") +
+           (ops.empty() ? "" : R"("ops":")" + ops + "\",") +
            R"("settings":{"azs":["a"],"peersTotal":1,"position":0,"stage":0,"zone":0,"granularity":0.005,)" +
            R"("registryMode":")" + mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" +
            R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)" +
@@ -512,8 +529,8 @@
 // A node with servers in its known list, and a discovery that has nothing to add.
 class Deployment {
  public:
-  explicit Deployment(const std::vector<FakeServer*>& servers, ConfigText config = {},
-                      rlim_t descriptors = 0) {
+  explicit Deployment(const std::vector<FakeServer*>& servers, ConfigText config = {}, rlim_t descriptors = 0,
+                      const Program::Environment& environment = {}, int inherited = -1) {
     std::string members;
     for (std::size_t i = 0; i < servers.size(); ++i) {
       members += (i > 0 ? "," : "") + member("s" + std::to_string(i), servers[i]->address());
@@ -521,7 +538,7 @@
     config.known = list(7, true, members);
     config.discovery = discovery.address();
     told = config;
-    program = std::make_unique<Program>(config.text(), descriptors);
+    program = std::make_unique<Program>(config.text(), descriptors, true, environment, inherited);
   }
   Wire client() const { return Wire::to(program->port()); }
 
