--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -35,10 +35,12 @@
   Effect effect = Effect::kUnsafe;
   DedupScope dedup_scope = DedupScope::kAll;
   double dedup_window = 0;  // repeats are dropped this long after the first send that may have run
+  std::string name = {};    // tells which class goes on when settings are replaced; may be empty
 };
 
 struct Tenant {
   std::optional<double> allowance;  // requests per second over all copies that are within its share
+  std::string name = {};            // as with classes
 };
 
 struct Settings {
@@ -66,6 +68,9 @@
   double cross_zone_price = 0;  // what a call to another zone costs; 0: zones need no preference
 };
 
+// Throws std::invalid_argument, naming the field, when the settings cannot be used.
+void validate(const Settings& settings);
+
 // ---------------------------------------------------------------- events
 
 // A client's request, or a caller's call, wants a server.
@@ -143,11 +148,17 @@
   bool enabled = true;
 };
 
+// Other settings hold from here on. Requests that came before keep the rules that they came under; what was
+// learned of a tenant or a class goes on where its name does.
+struct SettingsReplaced {
+  Settings settings;
+};
+
 // The copy starts: the first event, so that it can ask for what it needs.
 struct Started {};
 
 using Event = std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate,
-                           TimerFired, ServerSwitched>;
+                           TimerFired, ServerSwitched, SettingsReplaced>;
 
 // ---------------------------------------------------------------- actions
 
--- a/json/settings_reader.cpp
+++ b/json/settings_reader.cpp
@@ -75,6 +75,7 @@
 
 RequestClass read_class(const Value& in) {
   RequestClass out;
+  if (find(in, "name") != nullptr) out.name = text(in, "name");
   out.aim = number(in, "aim");
   out.aim_stretch = number_or(in, "aimStretch", 0);
   out.give_up = number(in, "giveUp");
@@ -116,6 +117,7 @@
   if (find(in, "realms") != nullptr) {
     for (const Value& item : array(in, "realms").GetArray()) {
       Tenant tenant;
+      if (find(item, "name") != nullptr) tenant.name = text(item, "name");
       if (find(item, "allowancePerS") != nullptr) tenant.allowance = number(item, "allowancePerS");
       out.tenants.push_back(tenant);
     }
--- a/node/config.cpp
+++ b/node/config.cpp
@@ -1,10 +1,12 @@
 #include "config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
 #include <string_view>
+#include <utility>
 
 #include "rapidjson/error/en.h"
 #include "settings_reader.h"
@@ -40,8 +42,51 @@
   return out;
 }
 
+// The paths of all keys; in a list those that each item has.
+void gather_keys(const json::Value& in, const std::string& path, std::set<std::string>& out) {
+  if (in.IsObject()) {
+    for (const auto& entry : in.GetObject()) {
+      std::string key = path + (path.empty() ? "" : ".");
+      key.append(entry.name.GetString(), entry.name.GetStringLength());
+      // The list of servers is told anew at each start alone.
+      if (entry.value.IsNull() || key == "known") continue;
+      out.insert(key);
+      gather_keys(entry.value, key, out);
+    }
+  } else if (in.IsArray() && !in.Empty()) {
+    std::set<std::string> common;
+    for (rapidjson::SizeType i = 0; i < in.Size(); ++i) {
+      std::set<std::string> of_item, both;
+      gather_keys(in[i], path + "[]", of_item);
+      std::set_intersection(common.begin(), common.end(), of_item.begin(), of_item.end(),
+                            std::inserter(both, both.end()));
+      common = i == 0 ? std::move(of_item) : std::move(both);
+    }
+    out.merge(common);
+  }
+}
+
+// Keys that may come and go: the settings' own page says so, or they belong to some classes alone.
+bool is_optional(const std::string& key) {
+  static const std::set<std::string> kOptional = {
+      "settings.categories[].aimStretch",  "settings.categories[].group",
+      "settings.categories[].dedupWindow", "settings.familyInfo.passesDeadline",
+      "settings.familyInfo.warmKeys",      "settings.realms[].allowancePerS"};
+  return kOptional.contains(key);
+}
+
 }  // namespace
 
+Config read_next_config(const std::string& path, const Clock& clock, const Config& force) {
+  Config out = read_config(path, clock);
+  for (const std::string& key : force.keys) {
+    if (!out.keys.contains(key) && !is_optional(key)) {
+      throw std::runtime_error("RELAY_CONFIG: field '" + key + "' is missing");
+    }
+  }
+  return out;
+}
+
 Config read_config(const std::string& path, const Clock& clock) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw std::runtime_error("RELAY_CONFIG: cannot read " + path);
@@ -54,6 +99,7 @@
                              std::to_string(in.GetErrorOffset()));
   }
   Config out;
+  gather_keys(in, "", out.keys);
   out.name = json::find(in, "name") != nullptr ? std::string(json::text(in, "name")) : "node";
   out.listen = read_endpoint(in, "listen");
   out.discovery = read_endpoint(in, "discovery");
@@ -72,6 +118,7 @@
 
   const json::Value& settings = json::need(in, "settings");
   out.settings = json::read_settings(settings);
+  validate(out.settings);
   out.class_names = names_of(json::array(settings, "categories"));
   if (json::find(settings, "realms") != nullptr) out.tenant_names = names_of(json::array(settings, "realms"));
   if (json::find(settings, "azs") != nullptr) {
--- a/node/config.h
+++ b/node/config.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,9 +26,14 @@
   std::vector<std::string> class_names, tenant_names;  // in the order of the settings
   Directory directory;
   Membership known;
+  std::set<std::string> keys;  // of the file, for the next one to have them too
 };
 
 // Throws std::exception with one line that names the field.
 Config read_config(const std::string& path, const Clock& clock);
 
+// The same for a file that is to follow `force`. Throws also where it lacks what that one had: a default
+// would be a silent guess.
+Config read_next_config(const std::string& path, const Clock& clock, const Config& force);
+
 }  // namespace thymewood::node
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "clock.h"
@@ -59,6 +60,7 @@
   void watch();
   // Discovery has moved: the watch goes on at the new address, with the whole list.
   void move_to(const boost::asio::ip::tcp::endpoint& where);
+  void set_directory(Directory directory) { directory_ = std::move(directory); }
   void set_index(std::uint64_t index) { index_ = index; }
 
  private:
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -75,6 +75,14 @@
   if (!must_watch_) watch_();
 }
 
+void Dispatcher::replace(const Settings& settings, std::size_t max_open) {
+  const bool watched = std::exchange(must_watch_, settings.must_watch);
+  max_open_ = max_open;
+  busy_retry_after_ = settings.max_retry_after / 2;
+  happen(SettingsReplaced{settings});
+  if (watched && !must_watch_) watch_();
+}
+
 void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to) {
   // Turned away before the module hears of it, as the settings have it.
   if (held_.size() >= max_open_) {
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -45,6 +45,8 @@
   bool is_listed(const std::string& server) const { return listed_.contains(server); }
   std::size_t listed() const { return listed_.size(); }
   std::size_t avoided() const { return balancer_.servers_avoided(clock_.now()); }
+  // Other settings, which can be used: the module holds them valid.
+  void replace(const Settings& settings, std::size_t max_open);
   // The servers that operators have taken out, listed or not.
   void take_out(const std::set<std::string>& servers);
 
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -52,6 +52,7 @@
     kReadSize;                           // bytes of read-ahead that an idle connection may keep room for
 constexpr std::size_t kHeadCost = 1024;  // bytes; what a request holds besides its body, about
 constexpr int kBacklog = 1024;
+constexpr double kLate = 2;  // s; how long after a reload callers may still ask as they did before
 
 std::string decimal_seconds(double seconds) {
   std::array<char, 32> text{};
@@ -111,7 +112,7 @@
     Frontend* owner = std::exchange(owner_, nullptr);
     if (owner == nullptr) return;
     if (waiting) owner->dispatcher_.client_gone(id_);
-    if (counted_ != nullptr) owner->metrics_.ended(*std::exchange(counted_, nullptr), End::kFailed);
+    if (counted_) owner->metrics_.ended(*std::exchange(counted_, std::nullopt), End::kFailed);
     owner->ended(*this);
   }
   void orphan() {
@@ -259,7 +260,7 @@
     if (!check_framing()) return;
     request_ = parser_->release();
     keep_alive_ = request_->keep_alive();
-    counted_ = nullptr;
+    counted_.reset();
     if (path_of(*request_) == "/_health") {
       if (request_->method() != http::verb::get && request_->method() != http::verb::head) {
         return reject({http::status::method_not_allowed, "GET only"});
@@ -270,12 +271,13 @@
           plain(well ? http::status::ok : http::status::service_unavailable, well ? "ok\n" : "not ready\n"));
     }
     Request event;
-    if (const auto bad = read_request(*request_, owner_->catalog_, event)) return reject(*bad, false);
+    const bool late = Clock::Steady::now() < owner_->late_until_;
+    if (const auto bad = read_request(*request_, owner_->catalog_, late, event)) return reject(*bad, false);
     if (owner_->dispatcher_.holds(event.id)) {
       return reject({http::status::bad_request, "X-Request-ID is that of an open request"}, false);
     }
     proven_ = true;
-    counted_ = &owner_->catalog_.class_names[event.request_class];
+    counted_ = owner_->catalog_.class_names[event.request_class];
     owner_->metrics_.taken();
     const auto message = std::make_shared<Message>(owner_->budget_);
     share_.keep(ahead_.capacity());  // the rest goes with the request
@@ -317,7 +319,7 @@
 
   // The last byte of the answer to a request that was taken is written.
   void count(End how) {
-    if (counted_ != nullptr) owner_->metrics_.ended(*std::exchange(counted_, nullptr), how);
+    if (counted_) owner_->metrics_.ended(*std::exchange(counted_, std::nullopt), how);
   }
 
   static HttpResponse plain(http::status status, const std::string& text) {
@@ -399,11 +401,11 @@
   asio::steady_timer timer_;
   bool turned_away_;
   State state_ = State::kReading;
-  bool reading_ = false;                  // a read is out
-  bool proven_ = false;                   // has asked for something that can be served
-  bool pause_ = false;                    // after this answer
-  bool begun_ = false;                    // a byte of the request has come
-  const std::string* counted_ = nullptr;  // the class of a request that was taken and has no whole answer yet
+  bool reading_ = false;                // a read is out
+  bool proven_ = false;                 // has asked for something that can be served
+  bool pause_ = false;                  // after this answer
+  bool begun_ = false;                  // a byte of the request has come
+  std::optional<std::string> counted_;  // the class of a request that was taken and has no whole answer yet
   bool keep_alive_ = true, continue_sent_ = false;
   std::array<char, kReadSize> scratch_{};
   boost::beast::flat_buffer ahead_;
@@ -441,6 +443,12 @@
   adopted_ = true;
 }
 
+void Frontend::replace(Catalog catalog, double busy_retry_after) {
+  catalog_ = std::move(catalog);
+  limits_.busy_retry_after = busy_retry_after;
+  late_until_ = Clock::Steady::now() + Clock::span(kLate);
+}
+
 Frontend::~Frontend() {
   for (const std::shared_ptr<Session>& session : sessions_) session->orphan();
   if (spare_ >= 0) ::close(spare_);
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -34,6 +34,9 @@
 
   // Throws boost::system::system_error when the address can't be listened on.
   void listen(const boost::asio::ip::tcp::endpoint& where);
+  // Other settings; requests that were taken go on by the rules they came under.
+  void replace(Catalog catalog, double busy_retry_after);
+  const Catalog& catalog() const { return catalog_; }
   // Serves on a listening socket that others hold too: a drain leaves what waits there to them.
   void adopt(int listener);
   void start();
@@ -75,6 +78,7 @@
   bool accepting_ = false, draining_ = false, closing_ = false;
   bool adopted_ = false;                   // the listening socket: a successor serves on it
   Clock::Steady::time_point last_answer_;  // of a drain
+  Clock::Steady::time_point late_until_;   // callers may ask by the settings before
   std::function<void()> drained_;
 };
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -67,21 +67,46 @@
   }
 }
 
-// At each SIGHUP: the file is read again, and discovery followed to where it says. All else stays as it is.
-void reload_on(asio::signal_set& hangups, const char* path, const node::Clock& clock,
-               node::Discovery& discovery, node::Metrics& metrics) {
-  hangups.async_wait([&hangups, path, &clock, &discovery, &metrics](boost::system::error_code bad, int) {
+// What a reload reaches.
+struct Parts {
+  const char* path;
+  const node::Clock& clock;
+  node::Config& config;  // in force
+  node::Discovery& discovery;
+  node::Upstream& upstream;
+  node::Dispatcher& dispatcher;
+  node::Frontend& frontend;
+  node::Metrics& metrics;
+};
+
+// All is read and found to be in order before the first part switches; from there on nothing can fail.
+void reload(const Parts& parts) {
+  node::Config next = node::read_next_config(parts.path, parts.clock, parts.config);
+  node::Catalog catalog =
+      node::next_catalog(parts.frontend.catalog(), next.class_names, next.tenant_names, next.settings);
+  parts.metrics.show(next.class_names);
+  parts.upstream.set_times(next.dial_timeout, next.idle_close);
+  parts.frontend.replace(std::move(catalog), next.settings.max_retry_after / 2);
+  parts.dispatcher.replace(next.settings, next.max_open);
+  parts.discovery.set_directory(next.directory);
+  parts.discovery.move_to(next.discovery);
+  parts.config = std::move(next);
+}
+
+// At each SIGHUP the file is read again.
+void reload_on(asio::signal_set& hangups, const Parts& parts) {
+  hangups.async_wait([&hangups, &parts](boost::system::error_code bad, int) {
     if (bad) return;
     try {
-      const node::Config config = node::read_config(path, clock);
-      discovery.move_to(config.discovery);
-      metrics.reloaded(true);
-      std::clog << "reload: discovery at " << config.discovery << '\n';
+      reload(parts);
+      parts.metrics.reloaded(true);
+      std::clog << "reload: discovery at " << parts.config.discovery << ", "
+                << parts.config.class_names.size() << " classes\n";
     } catch (const std::exception& problem) {
-      metrics.reloaded(false);
+      parts.metrics.reloaded(false);
       std::clog << "reload: " << problem.what() << "; all stays as it was\n";
     }
-    reload_on(hangups, path, clock, discovery, metrics);
+    reload_on(hangups, parts);
   });
 }
 
@@ -141,9 +166,10 @@
     node::Dispatcher dispatcher(io, clock, settings, config.seed, config.max_open, upstream,
                                 [&discovery] { discovery.watch(); });
     to = &dispatcher;
-    node::Frontend frontend(io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
-                            {config.class_names, config.tenant_names, settings.classes}, budget, dispatcher,
-                            metrics);
+    node::Frontend frontend(
+        io, {shares.clients, shares.overflow, settings.max_retry_after / 2},
+        {config.class_names, config.tenant_names, settings.classes, settings.classes.size()}, budget,
+        dispatcher, metrics);
     const char* directory = std::getenv("TMPDIR");
     node::Bans bans(io, directory != nullptr ? directory : "",
                     [&dispatcher](const std::set<std::string>& out) { dispatcher.take_out(out); });
@@ -166,7 +192,8 @@
     frontend.start();
     if (config.ops) std::clog << "thymewood " << config.name << ": operators at " << ops.local() << '\n';
     std::clog << "thymewood " << config.name << ": listening on " << frontend.local() << '\n';
-    reload_on(hangups, path, clock, discovery, metrics);
+    const Parts parts{path, clock, config, discovery, upstream, dispatcher, frontend, metrics};
+    reload_on(hangups, parts);
     signals.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) frontend.drain([&io] { io.stop(); });
     });
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -35,6 +35,11 @@
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
 
+  // How long to wait for a connection, and how long one may idle, from here on.
+  void set_times(double dial_timeout, double idle_close) {
+    limits_.dial_timeout = dial_timeout;
+    limits_.idle_close = idle_close;
+  }
   // Where a server listens, and whether it may get new work. `started` tells one of its processes from the
   // next, whose connections are not the last one's.
   void place(const std::string& server, const boost::asio::ip::tcp::endpoint& where, double started,
--- a/node/validation.cpp
+++ b/node/validation.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cstdint>
 #include <iterator>
+#include <span>
+#include <utility>
 
 namespace thymewood::node {
 
@@ -32,8 +34,32 @@
   return view(first->value());
 }
 
+bool is_same(const RequestClass& a, const RequestClass& b) {
+  return a.aim == b.aim && a.aim_stretch == b.aim_stretch && a.give_up == b.give_up &&
+         a.late_worth == b.late_worth && a.effect == b.effect && a.dedup_scope == b.dedup_scope &&
+         a.dedup_window == b.dedup_window;
+}
+
+// By the classes from one place up to another.
+std::optional<Rejected> read_as(const HttpRequest& request, const Catalog& catalog, std::size_t from,
+                                std::size_t to, Request& event);
+
 }  // namespace
 
+Catalog next_catalog(const Catalog& before, std::vector<std::string> class_names,
+                     std::vector<std::string> tenant_names, Settings& settings) {
+  Catalog out{std::move(class_names), std::move(tenant_names), settings.classes, settings.classes.size()};
+  for (std::size_t i = 0; i < before.in_force; ++i) {
+    const auto now = std::find(out.class_names.begin(), out.class_names.end(), before.class_names[i]);
+    const auto place = static_cast<std::size_t>(now - out.class_names.begin());
+    if (place < out.in_force && is_same(out.classes[place], before.classes[i])) continue;
+    out.class_names.push_back(before.class_names[i]);
+    out.classes.push_back(before.classes[i]);
+    settings.classes.push_back(before.classes[i]);
+  }
+  return out;
+}
+
 std::string_view path_of(const HttpRequest& request) {
   return view(request.target()).substr(0, request.target().find('?'));
 }
@@ -50,9 +76,19 @@
          !boost::beast::iequals(first->value(), "chunked") || request.version() < 11;
 }
 
-std::optional<Rejected> read_request(const HttpRequest& request, const Catalog& catalog, Request& event) {
+std::optional<Rejected> read_request(const HttpRequest& request, const Catalog& catalog, bool late,
+                                     Request& event) {
+  const auto bad = read_as(request, catalog, 0, catalog.in_force, event);
+  if (!bad || !late) return bad;
+  return read_as(request, catalog, catalog.in_force, catalog.classes.size(), event) ? bad : std::nullopt;
+}
+
+namespace {
+
+std::optional<Rejected> read_as(const HttpRequest& request, const Catalog& catalog, std::size_t from,
+                                std::size_t to, Request& event) {
   const auto bad = [](const char* text) { return Rejected{http::status::bad_request, text}; };
-  const std::vector<std::string>& names = catalog.class_names;
+  const std::span<const std::string> names = std::span(catalog.class_names).subspan(from, to - from);
   const std::string_view path = path_of(request);
   if (path.empty() || path.front() != '/') return bad("not a path");
   const std::string_view first = path.substr(1, path.find('/', 1) - 1);
@@ -66,7 +102,7 @@
     return bad("X-Priority-Class is unknown");
   }
   if (first != *told) return bad("X-Priority-Class is not that of the path");
-  event.request_class = static_cast<std::size_t>(named - names.begin());
+  event.request_class = from + static_cast<std::size_t>(named - names.begin());
 
   const auto id = only(request, "X-Request-ID");
   if (!id || id->empty() || id->size() > kLongestId) return bad("X-Request-ID is missing or unfit");
@@ -104,4 +140,6 @@
   return std::nullopt;
 }
 
+}  // namespace
+
 }  // namespace thymewood::node
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -3,7 +3,6 @@
 // question: admit? who is there? is it healthy? which server? how long? again? and last the events.
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -75,8 +74,6 @@
 constexpr double kLogPeriod = 10;      // s; least time between two log lines of a kind
 constexpr std::uint64_t kWatchTimer = 0;
 
-constexpr double kForever = std::numeric_limits<double>::infinity();
-
 // Which outcomes prove that an attempt never ran. Danger: taking an unknown end for harmless repeats effects.
 bool never_ran(Outcome outcome) {
   return outcome == Outcome::kRejected || outcome == Outcome::kDialFailed || outcome == Outcome::kNotSent;
@@ -100,12 +97,6 @@
   }
 };
 
-struct TenantState {
-  SlidingWindow window{kBucket, kWindowBuckets, 10};  // 10: 1000 ms, the short rate of the source
-  double limit = kForever, start = kForever, floor = 0, worth = 1;  // worth: of what exceeds the start
-  double factor = 0, factor_until = -kForever;
-};
-
 struct ServerNode {
   Server told;
   std::uint64_t order = 0, listed = 0;  // listed: in which membership update it was told last
@@ -144,17 +135,9 @@
 
 class Balancer::Impl {
  public:
-  Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
-    validate(settings);
-    settings_.classes.emplace_back();  // what is out of range lands here: unsafe, no aim of its own
-    settings_.classes.back().give_up = settings_.classes.back().aim = kForever;
-    for (const RequestClass& c : settings_.classes) {
-      const double aim = std::min(c.aim, 60.0);
-      latency_.push_back({aim / 4, aim / 8, 0});
-    }
+  Impl(const Settings& settings, std::uint64_t seed) : random_(seed) {
+    adopt(settings);
     for (const RequestClass& c : settings.classes) aim_.add(c.aim, 0);
-    settings_.tenants.emplace_back();
-    for (const Tenant& told : settings_.tenants) tenants_.push_back(first_limit(told));
   }
 
   void handle(double now, const Event& event, std::vector<Action>& actions) {
@@ -172,16 +155,49 @@
   }
 
   TenantView view(double now, std::size_t tenant) const {
-    const TenantState& t = tenants_[std::min(tenant, tenants_.size() - 1)];
+    const TenantState& t = *tenants_[std::min(tenant, tenants_.size() - 1)];
     const SlidingWindow::Sums sums = t.window.sums(now);
     return {t.limit, factor_of(t, sums), sums.total, sums.declined};
   }
 
  private:
+  // Takes settings over: at the start, and when they are replaced. Throws before anything is changed.
+  void adopt(const Settings& settings) {
+    validate(settings);
+    settings_ = settings;
+    settings_.classes.emplace_back();  // what is out of range lands here: unsafe, no aim of its own
+    settings_.classes.back().give_up = settings_.classes.back().aim = kForever;
+    settings_.tenants.emplace_back();
+    std::vector<std::shared_ptr<ClassState>> classes;
+    for (const RequestClass& told : settings_.classes) {
+      const double aim = std::min(told.aim, 60.0);
+      ClassState fresh{told, settings_.max_attempts, {aim / 4, aim / 8, 0}};
+      for (const auto& old : classes_) {
+        if (told.name.empty() || old->told.name != told.name) continue;
+        fresh.latency = old->latency;
+        break;  // the first of a name is the one in force
+      }
+      classes.push_back(std::make_shared<ClassState>(std::move(fresh)));
+    }
+    classes_ = std::move(classes);
+    std::vector<std::shared_ptr<TenantState>> tenants;
+    for (const Tenant& told : settings_.tenants) {
+      TenantState fresh = first_limit(told);
+      for (const auto& old : tenants_) {
+        if (told.name.empty() || old->name != told.name) continue;
+        fresh.window = old->window;
+        if (std::isfinite(fresh.limit) && std::isfinite(old->limit))
+          fresh.limit = std::max(fresh.floor, old->limit);
+      }
+      tenants.push_back(std::make_shared<TenantState>(std::move(fresh)));
+    }
+    tenants_ = std::move(tenants);
+  }
+
   // ---------------------------------------------------------------- admit?
 
   TenantState first_limit(const Tenant& told) const {
-    TenantState t;
+    TenantState t{told.name, {kBucket, kWindowBuckets, 10}};  // 10: 1000 ms, the short rate of the source
     if (told.allowance) {
       const double part = *told.allowance / settings_.copy_count;
       t.floor = part * (settings_.tier == 0 ? kFloor : kDeepFloor);
@@ -425,7 +441,7 @@
   }
 
   bool in_scope(const Pending& p, const ServerNode& s) const {
-    const RequestClass& c = settings_.classes[p.request_class];
+    const RequestClass& c = p.rules->told;
     for (const Attempt& a : p.attempts) {
       if (!a.may_have_run || c.effect == Effect::kSafe) continue;
       if (c.effect == Effect::kUnsafe || now_ > a.sent + c.dedup_window) return false;
@@ -473,23 +489,23 @@
   // An attempt may run until the answer is worthless, or until it is clearly late while another can follow.
   double timeout(const Pending& p) const {
     const double left = p.useful_until - now_;
-    const Estimate& usual = latency_[p.request_class];
+    const Estimate& usual = p.rules->latency;
     const double longest = usual.mean + kDeviations * usual.deviation;
-    const bool can_repeat = settings_.classes[p.request_class].effect != Effect::kUnsafe &&
-                            p.attempts.size() + 1 < static_cast<std::size_t>(settings_.max_attempts);
+    const bool can_repeat = p.rules->told.effect != Effect::kUnsafe &&
+                            p.attempts.size() + 1 < static_cast<std::size_t>(p.rules->max_attempts);
     return can_repeat && left - longest > usual.mean ? longest : left;
   }
 
   // ---------------------------------------------------------------- again?
 
   bool worth_another(const Pending& p) const {
-    return !p.streaming && p.attempts.size() < static_cast<std::size_t>(settings_.max_attempts) &&
-           retry_tokens_ >= 1 && p.useful_until - now_ > latency_[p.request_class].mean / 2;
+    return !p.streaming && p.attempts.size() < static_cast<std::size_t>(p.rules->max_attempts) &&
+           retry_tokens_ >= 1 && p.useful_until - now_ > p.rules->latency.mean / 2;
   }
 
   // A refusal promises that a repeat is harmless: only when nothing can have run, or repeats are dropped.
   bool may_refuse(const Pending& p) const {
-    const RequestClass& c = settings_.classes[p.request_class];
+    const RequestClass& c = p.rules->told;
     if (c.effect == Effect::kSafe) return true;
     if (c.effect == Effect::kKeyed && c.dedup_scope == DedupScope::kAll) return true;
     return !p.may_have_run();
@@ -552,9 +568,9 @@
 
   void on(const Request& r) {
     if (pending_.contains(r.id)) return;  // an id that is still open: one answer is owed, not two
-    const std::size_t tenant = std::min(r.tenant, tenants_.size() - 1);
-    const bool within_share = is_within_share(tenants_[tenant]);
-    if (!admits(tenants_[tenant])) {
+    const std::shared_ptr<TenantState>& tenant = tenants_[std::min(r.tenant, tenants_.size() - 1)];
+    const bool within_share = is_within_share(*tenant);
+    if (!admits(*tenant)) {
       out_->push_back(Refuse{r.id, settings_.max_retry_after / 2});
       note_shed(denied_);
       return;
@@ -563,14 +579,14 @@
     const auto it = pending_.try_emplace(r.id).first;
     Pending& p = it->second;
     p.tenant = tenant;
-    p.request_class = std::min(r.request_class, settings_.classes.size() - 1);
-    const RequestClass& c = settings_.classes[p.request_class];
+    p.rules = classes_[std::min(r.request_class, classes_.size() - 1)];
+    const RequestClass& c = p.rules->told;
     if (std::isfinite(c.aim)) aim_.add(std::min(c.aim, c.give_up), kLatencyGain);
     const double aim = std::min(c.aim + c.aim_stretch * r.work.value_or(0), c.give_up);
     p.useful_until = now_ + std::min(r.time_left, c.late_worth > 0 ? r.time_left : aim - 2 * settings_.tick);
     p.within_share = within_share;
     if (send(r.id, p)) return;
-    review(tenants_[tenant], true);
+    review(*tenant, true);
     note_shed(unplaced_);
     answer_unserved(r.id, p);
     pending_.erase(it);
@@ -603,7 +619,7 @@
     if (r.outcome == Outcome::kCancelled || r.outcome == Outcome::kNotSent) return;
     const bool answered = r.outcome == Outcome::kDelivered;
     if (r.outcome != Outcome::kRejected) note_health(s, answered);
-    const double aim = settings_.classes[p.request_class].aim;
+    const double aim = p.rules->told.aim;
     const double part_of_aim = aim > 0 ? r.elapsed / aim : 0;
     if (answered) {
       s.answered.add(now_);
@@ -612,7 +628,7 @@
       s.idle.add(now_, part_of_aim);
     }
     if (answered || r.outcome == Outcome::kTimedOut) {
-      Estimate& latency = latency_[p.request_class];
+      Estimate& latency = p.rules->latency;
       s.pace.add(latency.mean > 0 ? r.elapsed / latency.mean : 1, kPaceGain);
       s.paced_at = now_;
       // Danger: an attempt without an answer lasts as long as it was let. Taken for an answer time it makes
@@ -634,7 +650,7 @@
     // Danger: an error or a spoilt answer tells of a server, not of a crowd, and comes at any load.
     const bool crowd = r.outcome == Outcome::kRejected || r.outcome == Outcome::kTimedOut ||
                        r.outcome == Outcome::kDialFailed;
-    if (answered ? part_of_aim < kInTime : was_well && crowd) review(tenants_[p.tenant], !answered);
+    if (answered ? part_of_aim < kInTime : was_well && crowd) review(*p.tenant, !answered);
   }
 
   void on(const AnswerStarted& r) {
@@ -686,6 +702,13 @@
     rebuild_subset();
   }
 
+  void on(const SettingsReplaced& e) {
+    const bool watched = settings_.must_watch;
+    adopt(e.settings);
+    if (settings_.must_watch && !watched) out_->push_back(WatchMembers{});
+    rebuild_subset();
+  }
+
   void on(const TimerFired& timer) {
     if (timer.token == kWatchTimer && settings_.must_watch) out_->push_back(WatchMembers{});
   }
@@ -694,13 +717,13 @@
   Random random_;
   double now_ = 0;
   std::vector<Action>* out_ = nullptr;
-  std::vector<TenantState> tenants_;
+  std::vector<std::shared_ptr<TenantState>> tenants_;
+  std::vector<std::shared_ptr<ClassState>> classes_;
   Estimate aim_;                                  // of the calls that come
   Estimate usual_{1, 0, 0};                       // s; answer time over all servers and classes
   IdleTime idle_;                                 // of the tier
   Estimate recent_;                               // answer time now, as a part of the aim
   double knee_ = kForever, knee_at_ = -kForever;  // calls in flight at which servers began to slow down
-  std::vector<Estimate> latency_;                 // by class
   std::vector<ServerNode> servers_;
   std::unordered_map<std::string, std::size_t> by_address_;
   std::vector<std::size_t> unused_;         // places of servers that were forgotten
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -38,6 +38,7 @@
     require_amount(c.aim, "classes[].aim");
     require_amount(c.aim_stretch, "classes[].aim_stretch");
     require_amount(c.give_up, "classes[].give_up");
+    require(c.give_up > 0, "classes[].give_up must be above 0");
     require_amount(c.late_worth, "classes[].late_worth");
     require_amount(c.dedup_window, "classes[].dedup_window");
   }
--- a/src/support.h
+++ b/src/support.h
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -12,8 +13,7 @@
 
 namespace thymewood {
 
-// Throws std::invalid_argument, naming the field, when the settings cannot be used.
-void validate(const Settings& settings);
+constexpr double kForever = std::numeric_limits<double>::infinity();
 
 // splitmix64 with its own mapping to ranges: the same on every platform.
 class Random {
@@ -106,6 +106,21 @@
   }
 };
 
+// What one tenant may send, as learned. worth: of what exceeds the start.
+struct TenantState {
+  std::string name;
+  SlidingWindow window;
+  double limit = kForever, start = kForever, floor = 0, worth = 1;
+  double factor = 0, factor_until = -kForever;
+};
+
+// A class as it was told, which open requests hold on to, and its answer times.
+struct ClassState {
+  RequestClass told;
+  int max_attempts = 1;
+  Estimate latency;
+};
+
 struct Attempt {
   std::size_t server = 0;
   double sent = 0;
@@ -114,7 +129,8 @@
 
 // A request that still owes an answer, or has attempts out.
 struct Pending {
-  std::size_t tenant = 0, request_class = 0;
+  std::shared_ptr<TenantState> tenant;
+  std::shared_ptr<ClassState> rules;
   double useful_until = 0;  // when the answer becomes worthless
   std::vector<Attempt> attempts;
   bool finished = false, streaming = false, within_share = false;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <stdexcept>
 
 #include "harness.h"
 
@@ -114,5 +115,72 @@
   EXPECT_EQ(copy.balancer.servers_avoided(copy.now + 60), 0U);
 }
 
+// ---------------------------------------------------------------- settings that are replaced
+
+Settings named_settings(int max_attempts) {
+  Settings s = basic_settings();
+  s.classes[0].name = "look";
+  s.max_attempts = max_attempts;
+  Tenant tenant;
+  tenant.allowance = 5;
+  tenant.name = "acme";
+  s.tenants = {tenant};
+  return s;
+}
+
+TEST(Replaced, OpenRequestsKeepTheirRulesToTheirLastAttempt) {
+  Copy copy(named_settings(3));
+  copy.at(0, members(4));
+  ASSERT_EQ(all<Send>(copy.request("before")).size(), 1U);
+  Settings next = named_settings(1);
+  next.classes[0].effect = Effect::kUnsafe;
+  copy.at(copy.now, SettingsReplaced{next});
+  EXPECT_EQ(all<Send>(copy.end("before", Outcome::kReset)).size(), 1U) << "safe, and three attempts";
+  EXPECT_EQ(all<Send>(copy.end("before", Outcome::kReset, 1)).size(), 1U);
+  EXPECT_TRUE(all<Send>(copy.end("before", Outcome::kReset, 2)).empty());
+  ASSERT_EQ(all<Send>(copy.request("after")).size(), 1U);
+  EXPECT_EQ(all<Fail>(copy.end("after", Outcome::kReset)).size(), 1U) << "unsafe, and one attempt";
+}
+
+TEST(Replaced, ADroppedClassEndsItsOpenRequestsAsUsual) {
+  Settings two = named_settings(3);
+  two.classes.push_back(class_of(Effect::kKeyed));
+  two.classes[1].name = "mark";
+  Copy copy(two);
+  copy.at(0, members(4));
+  ASSERT_EQ(all<Send>(copy.request("r", 0, 1)).size(), 1U);
+  copy.at(copy.now, SettingsReplaced{named_settings(3)});
+  EXPECT_EQ(all<Send>(copy.end("r", Outcome::kReset)).size(), 1U);
+  EXPECT_TRUE(copy.end("r", Outcome::kDelivered, 1).empty());
+}
+
+TEST(Replaced, WhatWasLearnedOfATenantGoesOnByItsName) {
+  Copy copy(named_settings(3));
+  copy.at(0, members(4));
+  used(copy, 4000, "r");  // all are answered well and in time: the limit climbs
+  const double learned = copy.balancer.tenant(copy.now, 0).rate_limit;
+  Settings next = named_settings(3);
+  Tenant other;
+  other.allowance = 5;
+  other.name = "other";
+  next.tenants.insert(next.tenants.begin(), other);
+  ASSERT_GT(learned, Copy(next).balancer.tenant(0, 0).rate_limit);
+  copy.at(copy.now, SettingsReplaced{next});
+  EXPECT_EQ(copy.balancer.tenant(copy.now, 1).rate_limit, learned);
+  EXPECT_LT(copy.balancer.tenant(copy.now, 0).rate_limit, learned) << "a new one starts anew";
+}
+
+TEST(Replaced, SettingsThatCannotBeUsedChangeNothing) {
+  Copy copy(named_settings(3));
+  copy.at(0, members(4));
+  Settings bad = named_settings(1);
+  bad.classes[0].give_up = 0;
+  std::vector<Action> none;
+  EXPECT_THROW(copy.balancer.handle(copy.now, SettingsReplaced{bad}, none), std::invalid_argument);
+  EXPECT_TRUE(none.empty());
+  ASSERT_EQ(all<Send>(copy.request("r")).size(), 1U);
+  EXPECT_EQ(all<Send>(copy.end("r", Outcome::kReset)).size(), 1U);
+}
+
 }  // namespace
 }  // namespace thymewood
