--- a/node/config.cpp
+++ b/node/config.cpp
@@ -68,11 +68,11 @@
 
 // Keys that may come and go: the settings' own page says so, or they belong to some classes alone.
 bool is_optional(const std::string& key) {
-  static const std::set<std::string> kOptional = {
+  constexpr std::string_view kOptional[] = {
       "settings.categories[].aimStretch",  "settings.categories[].group",
       "settings.categories[].dedupWindow", "settings.familyInfo.passesDeadline",
       "settings.familyInfo.warmKeys",      "settings.realms[].allowancePerS"};
-  return kOptional.contains(key);
+  return std::find(std::begin(kOptional), std::end(kOptional), key) != std::end(kOptional);
 }
 
 }  // namespace
