Pass large bodies on as they come, both ways

Ruled out: the heads (none came late) and small answers (0.032 s at most). At fault: the 64 KiB limit of both parsers and the clock of small answers.

The longest answer and request go up to 64 MiB; a request that stalls is still turned down within 2.5 s of its head's start.

--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -109,6 +109,7 @@
   Outcome outcome = Outcome::kUnknown;
   double elapsed = 0;         // since it was sent
   bool request_done = false;  // the request needs no further answer
+  bool spent = false;         // it can't be sent again: a part of its body is gone
 };
 
 // The client left, or its time is up; nothing more is owed.
--- a/node/budget.h
+++ b/node/budget.h
@@ -13,6 +13,8 @@
   Budget& operator=(const Budget&) = delete;
   void limit(std::size_t most) { most_ = most; }
   std::size_t used() const { return used_; }
+  // Whether there is room for what could be done without.
+  bool is_ample() const { return used_ < most_ / 4; }
 
   // What one holder has of it.
   class Share {
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <exception>
 #include <iostream>
 #include <iterator>
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -27,6 +28,8 @@
 constexpr int kMostPaths = 100;   // log lines a second about requests that went badly; a flood gets no more
 constexpr double kReconnect = 1;  // s; mean wait before a broken watch is made anew, where lists are pushed
 
+double margin_of(double time_left) { return std::min(kMargin, kMarginPart * time_left); }
+
 std::string milliseconds(double seconds) { return std::to_string(std::lround(seconds * 1000)) + " ms"; }
 
 const char* name_of(Outcome outcome) {
@@ -83,10 +86,10 @@
   if (watched && !must_watch_) watch_();
 }
 
-void Dispatcher::take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to) {
+void Dispatcher::take(Request event, std::shared_ptr<const Outgoing> message, AnswerTo answer_to) {
   // Turned away before the module hears of it, as the settings have it.
   if (held_.size() >= max_open_) {
-    return answer_to({Answer::Kind::kRefused, busy_retry_after_, {}});
+    return answer_to({Answer::Kind::kRefused, busy_retry_after_, {}, nullptr});
   }
   const std::string id = event.id;
   const double now = clock_.now();
@@ -95,15 +98,26 @@
   held.answer_to = std::move(answer_to);
   held.since = now;
   held.path = ", class " + std::to_string(event.request_class) + ", given " + milliseconds(event.time_left);
-  const double margin = std::min(kMargin, kMarginPart * event.time_left);
-  held.until = now + event.time_left - margin;
+  held.time_left = event.time_left;
+  held.until = std::numeric_limits<double>::infinity();
+  if (!held.message->rest) run_clock(id, held);
+  event.time_left = std::max(0.0, event.time_left - margin_of(event.time_left));
+  happen(std::move(event));
+}
+
+void Dispatcher::run_clock(const std::string& id, Held& held) {
+  const double now = clock_.now(), margin = margin_of(held.time_left);
+  held.until = now + held.time_left - margin;
   held.guard =
-      std::make_unique<asio::steady_timer>(io_, clock_.at(now + event.time_left - kGuardPart * margin));
+      std::make_unique<asio::steady_timer>(io_, clock_.at(now + held.time_left - kGuardPart * margin));
   held.guard->async_wait([this, id](error_code cancelled) {
     if (!cancelled) overdue(id);
   });
-  event.time_left = std::max(0.0, event.time_left - margin);
-  happen(std::move(event));
+}
+
+void Dispatcher::complete(const std::string& id) {
+  const auto at = held_.find(id);
+  if (at != held_.end() && !at->second.over()) run_clock(id, at->second);
 }
 
 void Dispatcher::client_gone(const std::string& id) {
@@ -224,20 +238,30 @@
   if (at != held_.end() && !at->second.any_open()) perform(Fail{request->id});
 }
 
-void Dispatcher::attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
-                               HttpResponse&& response) {
+// A large answer is the client's from its first bytes on.
+void Dispatcher::answer_begins(const std::string& id, int attempt, HttpResponse&& head,
+                               std::shared_ptr<Pipe> body, double elapsed) {
+  const auto at = held_.find(id);
+  if (at == held_.end() || at->second.over()) return body->leave();
+  answer(at->second, {Answer::Kind::kServed, 0, std::move(head), std::move(body)});
+  happen(AnswerStarted{id, attempt, elapsed});
+}
+
+void Dispatcher::attempt_ended(const std::string& id, int attempt, Outcome outcome, HttpResponse&& response,
+                               double elapsed) {
   const auto at = held_.find(id);
   if (at == held_.end()) return;
   Held& held = at->second;
   held.open[static_cast<std::size_t>(attempt)] = false;
   if (outcome == Outcome::kDelivered && !held.over()) {
-    answer(held, {Answer::Kind::kServed, 0, std::move(response)});
+    answer(held, {Answer::Kind::kServed, 0, std::move(response), nullptr});
   }
   AttemptResult event;
   event.id = id;
   event.attempt = attempt;
   event.outcome = outcome;
-  event.elapsed = clock_.now() - sent;
+  event.elapsed = elapsed;
+  event.spent = !held.message->is_complete();
   held.path += ", " + held.servers[static_cast<std::size_t>(attempt)] + " " + name_of(outcome) + " after " +
                milliseconds(event.elapsed);
   held.went_badly |= outcome != Outcome::kDelivered;
@@ -281,7 +305,7 @@
 void Dispatcher::overdue(const std::string& id) {
   const auto at = held_.find(id);
   if (at == held_.end() || at->second.over()) return;
-  answer(at->second, {Answer::Kind::kFailed, 0, {}});
+  answer(at->second, {Answer::Kind::kFailed, 0, {}, nullptr});
   happen(RequestGone{id});
   const auto left = held_.find(id);
   if (left == held_.end()) return;
@@ -296,31 +320,33 @@
   if (at == held_.end()) return;
   Held& held = at->second;
   const int attempt = static_cast<int>(held.attempts.size());
-  const double now = clock_.now();
   // Without a limit of its own, or with a longer one, an attempt ends with its request.
-  const double left = held.until - now;
+  const double left = std::min(held.until - clock_.now(), held.time_left - margin_of(held.time_left));
   double timeout = action.timeout == 0 ? left : std::min(action.timeout, left);
   if (held.over()) timeout = 0;  // danger: a send after the final answer; it never leaves
   held.open.push_back(true);
   held.servers.push_back(action.server);
-  held.attempts.push_back(
-      upstream_.start(action.server, held.message, timeout,
-                      [this, id = action.id, attempt, now](Outcome outcome, HttpResponse&& response) {
-                        attempt_ended(id, attempt, now, outcome, std::move(response));
-                      }));
+  held.attempts.push_back(upstream_.start(
+      action.server, held.message, timeout,
+      {[this, id = action.id, attempt](HttpResponse&& head, std::shared_ptr<Pipe> body, double elapsed) {
+         answer_begins(id, attempt, std::move(head), std::move(body), elapsed);
+       },
+       [this, id = action.id, attempt](Outcome outcome, HttpResponse&& response, double elapsed) {
+         attempt_ended(id, attempt, outcome, std::move(response), elapsed);
+       }}));
 }
 
 void Dispatcher::perform(const Refuse& action) {
   const auto at = held_.find(action.id);
   if (at == held_.end() || at->second.over()) return;
-  answer(at->second, {Answer::Kind::kRefused, action.retry_after, {}});
+  answer(at->second, {Answer::Kind::kRefused, action.retry_after, {}, nullptr});
   settle(action.id);
 }
 
 void Dispatcher::perform(const Fail& action) {
   const auto at = held_.find(action.id);
   if (at == held_.end() || at->second.over()) return;
-  answer(at->second, {Answer::Kind::kFailed, 0, {}});
+  answer(at->second, {Answer::Kind::kFailed, 0, {}, nullptr});
   settle(action.id);
 }
 
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -25,8 +25,9 @@
 struct Answer {
   enum class Kind { kServed, kRefused, kFailed };
   Kind kind = Kind::kFailed;
-  double retry_after = 0;  // refused: when to come back; 0: no advice
-  HttpResponse response;   // served: the server's
+  double retry_after = 0;                // refused: when to come back; 0: no advice
+  HttpResponse response;                 // served: the server's
+  std::shared_ptr<Pipe> body = nullptr;  // served: what the response does not hold, as it comes
 };
 
 class Dispatcher {
@@ -51,7 +52,9 @@
   void take_out(const std::set<std::string>& servers);
 
   // Takes a request whose client waits until `event.time_left` from now. The answer may come at once.
-  void take(Request event, std::shared_ptr<const HttpRequest> message, AnswerTo answer_to);
+  void take(Request event, std::shared_ptr<const Outgoing> message, AnswerTo answer_to);
+  // The last byte of a request whose body was still coming has come; its time runs from here.
+  void complete(const std::string& id);
   // Whether a request of this id is open, or has attempts out.
   bool holds(const std::string& id) const { return held_.contains(id); }
   void client_gone(const std::string& id);
@@ -61,9 +64,10 @@
 
  private:
   struct Held {
-    std::shared_ptr<const HttpRequest> message;
-    AnswerTo answer_to;  // empty once the final answer is out, or nobody waits for it
-    double until = 0;    // when attempts end, a margin before the client gives up
+    std::shared_ptr<const Outgoing> message;
+    AnswerTo answer_to;    // empty once the final answer is out, or nobody waits for it
+    double until = 0;      // when attempts end, a margin before the client gives up
+    double time_left = 0;  // from the last byte of the request
     std::unique_ptr<boost::asio::steady_timer> guard;
     std::vector<Upstream::Handle> attempts;
     std::vector<bool> open;
@@ -82,8 +86,11 @@
   void count_ready();
   void happen(Event event);
   void handle(const Event& event);
-  void attempt_ended(const std::string& id, int attempt, double sent, Outcome outcome,
-                     HttpResponse&& response);
+  void answer_begins(const std::string& id, int attempt, HttpResponse&& head, std::shared_ptr<Pipe> body,
+                     double elapsed);
+  void attempt_ended(const std::string& id, int attempt, Outcome outcome, HttpResponse&& response,
+                     double elapsed);
+  void run_clock(const std::string& id, Held& held);
   void answer(Held& held, Answer&& answer);
   void settle(const std::string& id);
   void log_path(const std::string& id, const Held& held);
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -26,10 +26,17 @@
 // s; from the connection to the last byte of its first request. Who has not asked by then is told so or
 // closed on within 3 s.
 constexpr double kFirstWait = 2.5;
-constexpr double kReadWait = 2.5;    // s; from the first byte of a later request to its last
-constexpr double kIdleWait = 10;     // s; between requests
-constexpr double kErrorPause = 0.1;  // s; after an error of the caller's, before the next request is read
-constexpr double kWriteWait = 5;     // s; for a client to take an answer
+constexpr double kReadWait = 2.5;  // s; from the first byte of a later request to the end of its head
+// A body may come at this many bytes a second, half of what the slowest of those that are owed an answer
+// send, after a start of so many s; and it may pause for so many s.
+constexpr double kSlowest = 32e3, kBodyStart = 1.5, kBodyPause = 0.8;
+// Bytes of a body that are held, while there is ample memory, before a server is asked for. Danger: a caller
+// that takes seconds to send would hold a server, and count as a call in flight, for as long.
+constexpr std::size_t kHeldBody = std::size_t{1} * 1024 * 1024;
+constexpr double kIdleWait = 10;       // s; between requests
+constexpr double kErrorPause = 0.1;    // s; after an error of the caller's, before the next request is read
+constexpr double kWriteWait = 5;       // s; for a client to take an answer
+constexpr double kUnreadLinger = 2.5;  // s; the same for one that is still sending its request
 constexpr double kLinger = 0.5;  // s; for a client to read the last answer before the connection is closed
 // A drain, in s from its start. It is killed once the longest time that a client waits, or 3 s, and 0.7 s
 // more have gone by: by then all that was taken is answered. Clients go on using their connections as long as
@@ -63,7 +70,7 @@
 // A request on its way, with what it holds of the memory.
 struct Message {
   explicit Message(Budget& budget) : share(budget) {}
-  HttpRequest request;
+  Outgoing out;
   Budget::Share share;
 };
 
@@ -109,6 +116,7 @@
     unlist();
     halt(timer_);
     socket_.close(ignored);
+    let_go();
     Frontend* owner = std::exchange(owner_, nullptr);
     if (owner == nullptr) return;
     if (waiting) owner->dispatcher_.client_gone(id_);
@@ -117,6 +125,7 @@
   }
   void orphan() {
     unlist();
+    let_go();
     owner_ = nullptr;
   }
 
@@ -138,7 +147,13 @@
     }
     if (state_ == State::kReading && begun_)
       return reject({http::status::request_timeout, "request too slow"});
-    if (state_ != State::kWaiting) close();
+    if (state_ != State::kWaiting || upload_) close();
+  }
+
+  // Bodies that are on their way: the other side learns that nobody is here any more.
+  void let_go() {
+    if (upload_) std::exchange(upload_, nullptr)->break_off();
+    if (download_) std::exchange(download_, nullptr)->leave();
   }
 
   // ---------------------------------------------------------------- reading
@@ -152,6 +167,8 @@
     // Danger: when eager, this parser passes over its own body limit if the head and a part of the body come
     // together, and a length of gigabytes is then taken in.
     parser_->eager(false);
+    body_.clear();
+    came_ = 0;
     continue_sent_ = false;
     parse();
     if (state_ != State::kReading) return;
@@ -174,6 +191,7 @@
 
   void read() {
     if (reading_ || state_ == State::kClosed || ahead_.size() > kMostAhead - kReadSize) return;
+    if (upload_ && !upload_->has_room()) return;
     reading_ = true;
     socket_.async_read_some(asio::buffer(scratch_),
                             [self = shared_from_this()](error_code bad, std::size_t n) {
@@ -186,28 +204,25 @@
     if (owner_ == nullptr || state_ == State::kClosed) return;
     // A client that closes has gone, whatever it still has a right to.
     if (bad) {
-      if (state_ != State::kWriting) close();
+      if (state_ != State::kWriting || download_) close();
       return;
     }
     if (state_ == State::kLingering) {
       lingered_ += n;
-      if (lingered_ > kMostLingered) return close();
+      if (lingered_ > (unread_ ? kBodyLimit : kMostLingered)) return close();
       return read();
     }
     const asio::mutable_buffer room = ahead_.prepare(n);
     std::copy_n(scratch_.begin(), n, static_cast<char*>(room.data()));
     ahead_.commit(n);
-    if (state_ == State::kReading) parse();
-    if (state_ == State::kReading && !share_.hold(ahead_.capacity() + parser_->get().body().capacity())) {
-      keep_alive_ = false;
-      return respond(refusal(owner_->limits_.busy_retry_after));
-    }
+    if (state_ == State::kReading || upload_) parse();
     read();
   }
 
-  // Feeds the parser with what has come, up to the end of one request.
+  // Feeds the parser with what has come, up to the end of one request, or as far as there is room for its
+  // body.
   void parse() {
-    while (state_ == State::kReading && ahead_.size() > 0) {
+    while ((state_ == State::kReading || (upload_ && upload_->has_room())) && ahead_.size() > 0) {
       if (!begun_) {
         begun_ = true;
         if (proven_) {
@@ -215,25 +230,92 @@
           allow(kReadWait);
         }
       }
+      http::buffer_body::value_type& room = parser_->get().body();
+      room.data = owner_->piece_.data();
+      room.size = owner_->piece_.size();
+      room.more = true;
       error_code bad;
+      const bool had_head = parser_->is_header_done();
       const std::size_t used = parser_->put(ahead_.data(), bad);
       ahead_.consume(used);
-      if (bad == http::error::need_more) bad = {};
-      if (bad == http::error::body_limit || parser_->get().body().size() > kBodyLimit)
-        return reject({http::status::payload_too_large, "body too large"});
+      if (bad == http::error::need_more || bad == http::error::need_buffer) bad = {};
+      if (bad == http::error::body_limit) return reject({http::status::payload_too_large, "body too large"});
       if (bad == http::error::header_limit) {
         return reject({http::status::request_header_fields_too_large, "header too large"});
       }
       if (bad) return reject({http::status::bad_request, "malformed request"});
-      if (parser_->is_done()) return handle();
-      if (parser_->is_header_done() && !check_framing()) return;
+      if (parser_->is_header_done() && !had_head) {
+        if (!check_framing()) return;
+        head_at_ = Clock::Steady::now();
+      }
+      if (!take_body(owner_->piece_.size() - room.size)) return;
+      if (parser_->is_done()) return upload_ ? complete() : handle();
       if (used == 0) return;
     }
   }
 
+  // Keeps, or passes on, so many bytes of the body; false where the request is not read on.
+  bool take_body(std::size_t n) {
+    const char* bytes = owner_->piece_.data();
+    came_ += n;
+    if (upload_) {
+      upload_->write(bytes, n);
+    } else {
+      body_.append(bytes, n);
+    }
+    if (parser_->is_header_done() && !parser_->is_done()) {
+      const double since = std::chrono::duration<double>(Clock::Steady::now() - head_at_).count();
+      allow(std::min(kBodyPause, kBodyStart + static_cast<double>(came_) / kSlowest - since));
+    }
+    if (upload_) {
+      if (!upload_->has_room()) wait_for_room();
+      return true;
+    }
+    const bool held = share_.hold(ahead_.capacity() + body_.capacity());
+    if (held && body_.size() <= (owner_->budget_.is_ample() ? kHeldBody : kWholeBody)) return true;
+    if (parser_->is_done()) return held || refuse_unread();
+    if (body_.size() <= kWholeBody) return refuse_unread();
+    upload_ = std::make_shared<Pipe>(owner_->io_, owner_->budget_, length());
+    handle();
+    return upload_ != nullptr;
+  }
+
+  bool refuse_unread() {
+    keep_alive_ = false;
+    respond(refusal(owner_->limits_.busy_retry_after));
+    return false;
+  }
+
+  // The server is slower than the caller, who can't help it.
+  void wait_for_room() {
+    halt(timer_);
+    upload_->when_room([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self || self->owner_ == nullptr || !self->upload_) return;
+      if (self->upload_->is_left()) return;  // the answer is on its way
+      self->allow(kBodyPause);
+      self->parse();
+      self->read();
+    });
+  }
+
+  std::optional<std::uint64_t> length() const {
+    const auto told = parser_->content_length();
+    return told ? std::optional<std::uint64_t>(*told) : std::nullopt;
+  }
+
+  // The last byte of a body that was passed on as it came.
+  void complete() {
+    halt(timer_);
+    std::exchange(upload_, nullptr)->finish();
+    count_taken();
+    owner_->dispatcher_.complete(id_);
+  }
+
   // What the head says of the body, before the body has come.
   bool check_framing() {
-    const HttpRequest& request = parser_->get();
+    HttpRequest request;
+    request.base() = parser_->get().base();
     // Danger: two ways to tell the length may hide a second request in the body.
     if (is_length_ambiguous(request)) {
       reject({http::status::bad_request, "ambiguous length"});
@@ -257,10 +339,12 @@
   // ---------------------------------------------------------------- what may be asked
 
   void handle() {
-    if (!check_framing()) return;
-    request_ = parser_->release();
+    request_.emplace();
+    request_->base() = parser_->get().base();
+    request_->body() = std::move(body_);
+    body_ = {};
     keep_alive_ = request_->keep_alive();
-    counted_.reset();
+    request_class_.reset();
     if (path_of(*request_) == "/_health") {
       if (request_->method() != http::verb::get && request_->method() != http::verb::head) {
         return reject({http::status::method_not_allowed, "GET only"});
@@ -272,13 +356,15 @@
     }
     Request event;
     const bool late = Clock::Steady::now() < owner_->late_until_;
-    if (const auto bad = read_request(*request_, owner_->catalog_, late, event)) return reject(*bad, false);
+    if (const auto bad = read_request(*request_, owner_->catalog_, late, event))
+      return reject(*bad, upload_ != nullptr);
     if (owner_->dispatcher_.holds(event.id)) {
-      return reject({http::status::bad_request, "X-Request-ID is that of an open request"}, false);
+      return reject({http::status::bad_request, "X-Request-ID is that of an open request"},
+                    upload_ != nullptr);
     }
     proven_ = true;
-    counted_ = owner_->catalog_.class_names[event.request_class];
-    owner_->metrics_.taken();
+    request_class_ = owner_->catalog_.class_names[event.request_class];
+    if (!upload_) count_taken();
     const auto message = std::make_shared<Message>(owner_->budget_);
     share_.keep(ahead_.capacity());  // the rest goes with the request
     if (!message->share.hold(kHeadCost + request_->body().capacity()))
@@ -295,14 +381,21 @@
     id_ = event.id;
     drop_hop_by_hop(*request_);
     request_->erase("X-Timeout-Ms");
-    request_->prepare_payload();
+    if (!upload_) {
+      request_->prepare_payload();
+    } else if (const auto whole = upload_->length()) {
+      request_->content_length(*whole);
+    } else {
+      request_->chunked(true);
+    }
     request_->version(11);
-    message->request = std::move(*request_);
+    message->out.request = std::move(*request_);
+    message->out.rest = upload_;
     request_.reset();
     state_ = State::kWaiting;
     unlist();
-    halt(timer_);
-    owner_->dispatcher_.take(std::move(event), {message, &message->request},
+    if (!upload_) halt(timer_);
+    owner_->dispatcher_.take(std::move(event), {message, &message->out},
                              [weak = weak_from_this()](Answer&& answer) {
                                if (const auto self = weak.lock()) self->answer(std::move(answer));
                              });
@@ -317,6 +410,12 @@
     return refused ? End::kRefused : End::kFailed;
   }
 
+  void count_taken() {
+    if (!request_class_) return;
+    counted_ = std::exchange(request_class_, std::nullopt);
+    owner_->metrics_.taken();
+  }
+
   // The last byte of the answer to a request that was taken is written.
   void count(End how) {
     if (counted_) owner_->metrics_.ended(*std::exchange(counted_, std::nullopt), how);
@@ -338,6 +437,7 @@
   // An error of the caller's. After one that leaves the framing in doubt nothing more is read as requests.
   void reject(const Rejected& why, bool lost = true) {
     if (lost) keep_alive_ = false;
+    if (state_ == State::kWaiting) owner_->dispatcher_.client_gone(id_);  // its body went wrong on the way
     pause_ = true;
     respond(plain(why.status, std::string(why.text) + "\n"));
   }
@@ -347,6 +447,7 @@
     switch (answer.kind) {
       case Answer::Kind::kServed:
         drop_hop_by_hop(answer.response);
+        if (answer.body) return relay(std::move(answer));
         return respond(std::move(answer.response));
       case Answer::Kind::kRefused:
         return respond(refusal(answer.retry_after));
@@ -355,11 +456,20 @@
     }
   }
 
-  void respond(HttpResponse&& response) {
+  // Whatever the answer is, it is the end of the request.
+  void begin_answer() {
     if (proven_) unlist();
     state_ = State::kWriting;
-    share_.keep(ahead_.capacity() + response.body().size());
+    count_taken();
+    unread_ = !parser_->is_done() && parser_->is_header_done();
+    if (unread_) keep_alive_ = false;
+    let_go();
     if (owner_->closing_ || owner_->is_handing_over() || turned_away_) keep_alive_ = false;
+  }
+
+  void respond(HttpResponse&& response) {
+    begin_answer();
+    share_.keep(ahead_.capacity() + response.body().size());
     response_ = std::move(response);
     response_.version(11);
     response_.keep_alive(keep_alive_);
@@ -368,20 +478,86 @@
     http::async_write(socket_, response_, [self = shared_from_this()](error_code bad, std::size_t) {
       if (self->owner_ == nullptr || self->state_ != State::kWriting) return;
       if (bad) return self->close();
-      self->count(end_of(self->response_.result()));
-      self->response_ = {};
-      self->share_.keep(self->ahead_.capacity());
-      if (!self->keep_alive_) return self->linger();
-      if (std::exchange(self->pause_, false)) {
-        // Guards the others against one who asks the same again at full speed: he is read from now and then.
-        self->state_ = State::kPausing;
-        return self->allow(kErrorPause);
-      }
-      self->allow(kIdleWait);
-      self->next_request();
+      self->written();
     });
   }
 
+  // The last byte of the answer is written.
+  void written() {
+    count(end_of(response_.result()));
+    response_ = {};
+    share_.keep(ahead_.capacity());
+    if (!keep_alive_) return linger();
+    if (std::exchange(pause_, false)) {
+      // Guards the others against one who asks the same again at full speed: he is read from now and then.
+      state_ = State::kPausing;
+      return allow(kErrorPause);
+    }
+    allow(kIdleWait);
+    next_request();
+  }
+
+  // Passes a large answer on as it comes.
+  void relay(Answer&& answer) {
+    begin_answer();
+    download_ = std::move(answer.body);
+    response_.base() = answer.response.base();
+    relayed_.emplace();
+    relayed_->base() = std::move(answer.response.base());
+    relayed_->version(11);
+    if (const auto whole = download_->length()) {
+      relayed_->content_length(*whole);
+    } else if (parser_->get().version() >= 11) {
+      relayed_->chunked(true);
+    } else {
+      keep_alive_ = false;  // its end is that of the connection
+    }
+    relayed_->keep_alive(keep_alive_);
+    relayed_->body().more = true;
+    serializer_.emplace(*relayed_);
+    allow(kWriteWait);
+    http::async_write_header(socket_, *serializer_, [self = shared_from_this()](error_code bad, std::size_t) {
+      self->relay_more(bad);
+    });
+  }
+
+  void relay_more(error_code bad) {
+    if (owner_ == nullptr || state_ != State::kWriting || !download_) return;
+    if (bad && bad != http::error::need_buffer) return close();
+    piece_out_ = download_->take();
+    const bool last = piece_out_.empty() && download_->is_whole();
+    if (piece_out_.empty() && !last) {
+      if (download_->is_broken()) return cut_off();
+      halt(timer_);  // it is the server that is waited for
+      return download_->when_readable([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->relay_more({});
+      });
+    }
+    http::buffer_body::value_type& out = relayed_->body();
+    out.data = last ? nullptr : piece_out_.data();
+    out.size = piece_out_.size();
+    out.more = !last;
+    allow(kWriteWait);
+    http::async_write(socket_, *serializer_,
+                      [self = shared_from_this(), last](error_code problem, std::size_t) {
+                        if (!last) return self->relay_more(problem);
+                        if (self->owner_ == nullptr || self->state_ != State::kWriting) return;
+                        if (problem) return self->close();
+                        self->download_.reset();
+                        self->serializer_.reset();
+                        self->relayed_.reset();
+                        self->written();
+                      });
+  }
+
+  // The server broke off. Danger: where the end of the connection is that of the answer, an orderly one would
+  // pass for the whole.
+  void cut_off() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+  }
+
   // Danger: closing with unread bytes resets the connection, and the client may lose the answer.
   void linger() {
     state_ = State::kLingering;
@@ -392,7 +568,7 @@
     error_code bad;
     socket_.shutdown(tcp::socket::shutdown_send, bad);
     if (bad) return close();
-    allow(kLinger);
+    allow(unread_ ? kUnreadLinger : kLinger);
     read();
   }
 
@@ -401,10 +577,11 @@
   asio::steady_timer timer_;
   bool turned_away_;
   State state_ = State::kReading;
-  bool reading_ = false;                // a read is out
-  bool proven_ = false;                 // has asked for something that can be served
-  bool pause_ = false;                  // after this answer
-  bool begun_ = false;                  // a byte of the request has come
+  bool reading_ = false;                      // a read is out
+  bool proven_ = false;                       // has asked for something that can be served
+  bool pause_ = false;                        // after this answer
+  bool begun_ = false;                        // a byte of the request has come
+  std::optional<std::string> request_class_;  // of a request whose last byte has not come yet
   std::optional<std::string> counted_;  // the class of a request that was taken and has no whole answer yet
   bool keep_alive_ = true, continue_sent_ = false;
   std::array<char, kReadSize> scratch_{};
@@ -413,7 +590,16 @@
   std::list<Session*>* list_ = nullptr;
   std::list<Session*>::iterator listed_at_;
   std::size_t lingered_ = 0;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<http::buffer_body>> parser_;
+  std::string body_;                   // as far as it has come and is held
+  std::size_t came_ = 0;               // bytes of the body
+  Clock::Steady::time_point head_at_;  // when the head was whole
+  std::shared_ptr<Pipe> upload_;       // where the rest of the body goes, until it is all there
+  bool unread_ = false;                // the answer came before the request was all there
+  std::shared_ptr<Pipe> download_;     // where the body of a large answer comes from
+  std::optional<http::response<http::buffer_body>> relayed_;
+  std::optional<http::response_serializer<http::buffer_body>> serializer_;
+  std::string piece_out_;
   std::optional<HttpRequest> request_;
   std::string id_;
   HttpResponse response_;
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -1,6 +1,7 @@
 // The callers' side: their connections, what they may ask, and the answers.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -74,7 +75,8 @@
   // Those that may be closed for others, the one that has waited the longest first: callers that never asked
   // for anything that can be served, and those between two requests.
   std::list<Session*> strangers_, idle_;
-  int spare_ = -1;  // a descriptor in reserve
+  int spare_ = -1;                                    // a descriptor in reserve
+  std::array<char, std::size_t{16} * 1024> piece_{};  // of a body, while it is parsed
   bool accepting_ = false, draining_ = false, closing_ = false;
   bool adopted_ = false;                   // the listening socket: a successor serves on it
   Clock::Steady::time_point last_answer_;  // of a drain
--- a/node/message.h
+++ b/node/message.h
@@ -4,6 +4,9 @@
 #include <boost/beast/http.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+
+#include "pipe.h"
 
 namespace thymewood::node {
 
@@ -11,7 +14,16 @@
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
 constexpr std::uint32_t kHeaderLimit = 16 * 1024;
-constexpr std::uint64_t kBodyLimit = std::uint64_t{64} * 1024;
+constexpr std::uint64_t kWholeBody = std::uint64_t{64} * 1024;  // an answer up to here is passed on whole
+constexpr std::uint64_t kBodyLimit = std::uint64_t{64} * 1024 * 1024;
+
+// A request on its way to a server. Where its body is larger than is held, the rest is still to come.
+struct Outgoing {
+  HttpRequest request;
+  std::shared_ptr<Pipe> rest;
+  // Whether it can be sent, or sent again: nothing of it is gone.
+  bool is_complete() const { return !rest || !rest->touched(); }
+};
 
 // Drops the fields that belong to one connection and not to the message.
 template <typename Fields>
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -33,8 +33,15 @@
 constexpr double kRest = 0.004;
 // s. An answer that has begun and is not whole after this long is given up. Danger: one that stops half-way,
 // or comes a few bytes at a time, would hold its request until its whole time is gone, though another server
-// could still answer it. A body has 64 KiB at most.
+// could still answer it.
 constexpr double kWhole = 0.25;
+// Bytes a second. One that is not known to be small and has come as fast as this is a large one that moves:
+// the slowest that peers are said to send bodies at.
+constexpr double kSlowest = 64e3;
+// s. A large answer whose server is silent for so long is broken off, and a large request that its server
+// does not read from.
+constexpr double kSilence = 3;
+constexpr std::size_t kPiece = std::size_t{16} * 1024;  // bytes of a body that are parsed at a time
 // Bytes of an answer that may wait to be parsed: a whole head and some more. Danger: a parser asks for more
 // of a line that does not end, as in the extension of a chunk, for as long as there is room.
 constexpr std::size_t kMostUnparsed = kHeaderLimit + 16 * 1024;
@@ -47,6 +54,19 @@
   return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Like halt(), also for an expiry that is on its way: those who wait look at when it is due.
+void call_off(asio::steady_timer& timer) { timer.expires_at(Clock::Steady::time_point::max()); }
+
+constexpr const char* kLastChunk = "0\r\n\r\n";
+
+// A piece of a body as it goes on the wire: in a chunk where the rest has no length.
+std::string framed(const std::string& piece, const std::shared_ptr<Pipe>& rest) {
+  if (!rest || rest->length() || piece.empty()) return piece;
+  std::ostringstream out;
+  out << std::hex << piece.size() << "\r\n" << piece << "\r\n";
+  return std::move(out).str();
+}
+
 Outcome outcome_of(const HttpResponse& answer) {
   switch (answer.result_int()) {
     case 200:
@@ -93,14 +113,22 @@
   Attempt(asio::io_context& io, Budget& budget, Report to)
       : timer(io), whole(io), report(std::move(to)), share(budget) {}
   asio::steady_timer timer;
-  asio::steady_timer whole;  // since the first byte of the answer
+  asio::steady_timer
+      whole;  // since the first byte of the answer; then, and before, for a peer that is silent
   Report report;
-  std::shared_ptr<const HttpRequest> request;
-  Clock::Steady::time_point until;
+  std::shared_ptr<const Outgoing> request;
+  std::shared_ptr<Pipe> rest;  // of the request's body; empty once all of it is in `wire`
+  double timeout = 0;
+  Clock::Steady::time_point begun = Clock::Steady::now();  // when it was sent, or is taken to be
+  Clock::Steady::time_point until, first_byte;
   std::string wire;  // the request as it is sent; empty again once it is out
   std::size_t written = 0;
-  bool sent = false;  // its last byte is written: from here on it may have run
-  std::optional<http::response_parser<http::string_body>> parser;
+  bool streamed = false;  // the request's body was still coming when it began
+  bool sent = false;      // its last byte is written: from here on it may have run
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::vector<char> piece;         // of the body, as it is parsed
+  std::string body;                // of an answer that stays whole
+  std::shared_ptr<Pipe> body_out;  // of one that does not
   std::shared_ptr<Connection> connection;
   std::shared_ptr<Pool> pool;
   Budget::Share share;  // of the request as it is sent, then of the answer as it comes
@@ -112,6 +140,15 @@
   void read(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void read_more(Upstream& owner, const std::shared_ptr<Attempt>& self);
   void begin_answer(Upstream& owner, const std::shared_ptr<Attempt>& self);
+  void end_by(Upstream& owner, const std::shared_ptr<Attempt>& self);
+  void expect(Upstream& owner, const std::shared_ptr<Attempt>& self, Outcome otherwise);
+  bool next_of_rest(Upstream& owner, const std::shared_ptr<Attempt>& self);
+  bool is_large() const;
+  bool moves() const;
+  void stream(Upstream& owner, const std::shared_ptr<Attempt>& self);
+  void came(Upstream& owner, const std::shared_ptr<Attempt>& self, error_code problem, std::size_t n);
+  HttpResponse head() const;
+  double elapsed() const;
   void answered(Upstream& owner, const std::shared_ptr<Attempt>& self);
 };
 
@@ -150,22 +187,20 @@
   pool->waiting.clear();
 }
 
-Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const HttpRequest>& request,
+Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const Outgoing>& request,
                                  double timeout, Report report) {
   const auto attempt = std::make_shared<Attempt>(io_, budget_, std::move(report));
   const auto at = pools_.find(server);
-  if (at == pools_.end() || !(timeout > 0)) {
+  if (at == pools_.end() || !(timeout > 0) || !request->is_complete()) {
     end_later(attempt, Outcome::kNotSent);
     return attempt;
   }
   attempt->pool = at->second;
   attempt->request = request;
-  attempt->until = Clock::Steady::now() + Clock::span(timeout);
-  attempt->timer.expires_at(attempt->until);
-  attempt->timer.async_wait([this, alive = alive_, attempt](error_code cancelled) {
-    if (cancelled || !*alive || attempt->ended) return;
-    finish(attempt, attempt->sent ? Outcome::kTimedOut : Outcome::kDialFailed, false);
-  });
+  attempt->rest = request->rest;
+  attempt->streamed = request->rest != nullptr;
+  attempt->timeout = timeout;
+  attempt->end_by(*this, attempt);
   if (std::shared_ptr<Connection> connection = take_idle(*attempt->pool)) {
     attempt->begin(*this, attempt, std::move(connection));
   } else if (attempt->pool->idle.size() > attempt->pool->waiting.size()) {
@@ -356,31 +391,80 @@
 void Upstream::Attempt::begin(Upstream& owner, const std::shared_ptr<Attempt>& self,
                               std::shared_ptr<Connection> on) {
   connection = std::move(on);
-  HttpRequest head;
-  head.base() = request->base();
-  head.set(http::field::host, pool->where.address().to_string() + ":" + std::to_string(pool->where.port()));
+  HttpRequest out;
+  out.base() = request->request.base();
+  out.set(http::field::host, pool->where.address().to_string() + ":" + std::to_string(pool->where.port()));
   // What is left now: a part of the time may have gone by in the wait for the connection.
   const double left = std::chrono::duration<double>(until - Clock::Steady::now()).count();
-  head.set("X-Timeout-Ms", std::to_string(static_cast<long long>(std::max(1.0, std::floor(left * 1000)))));
+  out.set("X-Timeout-Ms", std::to_string(static_cast<long long>(std::max(1.0, std::floor(left * 1000)))));
   std::ostringstream text;
-  text << head.base();
-  wire = std::move(text).str() + request->body();
+  text << out.base();
+  wire = std::move(text).str();
+  wire += framed(request->request.body(), rest);
   request.reset();
   if (!share.hold(wire.size())) return owner.end_later(self, Outcome::kNotSent);
   write(owner, self);
 }
 
+// How long it may take: from now on, and for a request whose body is still coming anew with its last byte.
+void Upstream::Attempt::end_by(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  until = Clock::Steady::now() + Clock::span(timeout);
+  if (rest) return;
+  timer.expires_at(until);
+  timer.async_wait([&owner, alive = owner.alive_, self](error_code cancelled) {
+    if (cancelled || !*alive || self->ended || self->body_out) return;
+    owner.finish(self, self->sent ? Outcome::kTimedOut : Outcome::kDialFailed, false);
+  });
+}
+
+// Ends it if the peer moves no byte for too long.
+void Upstream::Attempt::expect(Upstream& owner, const std::shared_ptr<Attempt>& self, Outcome otherwise) {
+  whole.expires_after(Clock::span(kSilence));
+  whole.async_wait([&owner, alive = owner.alive_, self, otherwise](error_code cancelled) {
+    if (cancelled || !*alive || self->ended || self->whole.expiry() > Clock::Steady::now()) return;
+    owner.finish(self, otherwise, false);
+  });
+}
+
+// Puts what has come of the rest of the body on the wire; false while there is nothing.
+bool Upstream::Attempt::next_of_rest(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  const std::string more = rest->take();
+  written = 0;
+  wire = framed(more, rest);
+  share.keep(wire.capacity());
+  if (!more.empty()) return true;
+  if (rest->is_whole()) {
+    if (!rest->length()) wire = kLastChunk;
+    rest.reset();
+    return true;
+  }
+  if (rest->is_broken()) {
+    owner.end_later(self, Outcome::kCancelled);  // its caller has gone, and the last byte was not written
+    return false;
+  }
+  call_off(whole);
+  rest->when_readable([&owner, alive = owner.alive_, self] {
+    if (*alive && !self->ended) self->write(owner, self);
+  });
+  return false;
+}
+
 // Guards against an answer to the last request that comes while this one is being written: up to its last
 // byte nothing that arrives can be meant for it, and a connection that is closed before that byte has run
 // nothing.
 void Upstream::Attempt::write(Upstream& owner, const std::shared_ptr<Attempt>& self) {
-  while (written < wire.size()) {
+  while (written < wire.size() || rest) {
+    if (written == wire.size()) {
+      if (!next_of_rest(owner, self)) return;
+      continue;
+    }
     if (is_readable(connection->socket)) return owner.end_later(self, Outcome::kDialFailed);
     const ssize_t n = ::send(connection->socket.native_handle(), wire.data() + written, wire.size() - written,
                              MSG_DONTWAIT | MSG_NOSIGNAL);
     if (n > 0) {
       written += static_cast<std::size_t>(n);
     } else if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      if (streamed) expect(owner, self, Outcome::kDialFailed);
       return connection->socket.async_wait(tcp::socket::wait_write, [&owner, alive = owner.alive_, self,
                                                                      held = connection](error_code problem) {
         if (!*alive || self->ended) return;
@@ -393,6 +477,11 @@
   }
   sent = true;
   owner.metrics_.attempt_written();
+  if (streamed) {
+    call_off(whole);
+    begun = Clock::Steady::now();
+    end_by(owner, self);
+  }
   wire = {};
   share.keep(0);
   read(owner, self);
@@ -402,9 +491,7 @@
   parser.emplace();
   parser->header_limit(kHeaderLimit);
   parser->body_limit(kBodyLimit);
-  // Danger: a parser that is eager (as the whole-message read makes it) passes over its body limit if the
-  // head and a part of the body come together: an answer of gigabytes would be taken in. Hence piece by
-  // piece.
+  // Danger: a parser that is eager may take in a part of the body with the head, with no room made for it.
   parser->eager(false);
   if (connection->buffer.size() > 0) return begin_answer(owner, self);
   // Danger: the read below tells of nothing before a head is whole, and some stop in the midst of that.
@@ -419,44 +506,114 @@
 // Danger: an attempt that ends lets go of its connection while the socket's operation is still to be called
 // off, and that one works on the connection's buffer: each operation holds on to it.
 void Upstream::Attempt::read_more(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  piece.resize(kPiece);
+  http::buffer_body::value_type& room = parser->get().body();
+  room.data = piece.data();
+  room.size = piece.size();
+  room.more = true;
   http::async_read_some(
       connection->socket, connection->buffer, *parser,
       [&owner, alive = owner.alive_, self, held = connection](error_code problem, std::size_t) {
         if (!*alive || self->ended) return;
-        if (problem && !self->parser->is_done()) {
-          const bool broken = problem == http::error::end_of_stream ||
-                              problem == http::error::partial_message ||
-                              problem.category() == boost::system::system_category() ||
-                              problem.category() == asio::error::get_misc_category();
-          // What can't be read as an answer came from a server that had the request: it may
-          // have run too.
-          return owner.finish(self, broken ? Outcome::kReset : Outcome::kUnknown, false);
-        }
-        if (self->parser->get().body().size() > kBodyLimit ||
-            !self->share.hold(held->buffer.capacity() + self->parser->get().body().capacity())) {
-          return owner.finish(self, Outcome::kUnknown, false);
-        }
-        if (self->parser->is_done()) return self->answered(owner, self);
-        self->read_more(owner, self);
+        if (problem == http::error::need_buffer) problem = {};
+        self->came(owner, self, problem, kPiece - self->parser->get().body().size);
       });
 }
 
+// So many bytes of the body, or the head.
+void Upstream::Attempt::came(Upstream& owner, const std::shared_ptr<Attempt>& self, error_code problem,
+                             std::size_t n) {
+  if (body_out) {
+    if (body_out->is_left()) return owner.finish(self, Outcome::kCancelled, false);
+    body_out->write(piece.data(), n);
+  } else {
+    body.append(piece.data(), n);
+  }
+  if (problem && !parser->is_done()) {
+    const bool broken = problem == http::error::end_of_stream || problem == http::error::partial_message ||
+                        problem.category() == boost::system::system_category() ||
+                        problem.category() == asio::error::get_misc_category();
+    // What can't be read as an answer came from a server that had the request: it may have run too.
+    return owner.finish(self, broken ? Outcome::kReset : Outcome::kUnknown, false);
+  }
+  if (parser->is_done()) return answered(owner, self);
+  if (!body_out) {
+    if (is_large()) {
+      if (parser->get().result() != http::status::ok) return owner.finish(self, outcome_of(head()), false);
+      stream(owner, self);
+    } else if (!share.hold(connection->buffer.capacity() + piece.capacity() + body.capacity())) {
+      return owner.finish(self, Outcome::kUnknown, false);
+    }
+  }
+  if (!body_out) return read_more(owner, self);
+  call_off(whole);  // it is the client that is waited for now, if anyone
+  body_out->when_room([&owner, alive = owner.alive_, self] {
+    if (!*alive || self->ended) return;
+    if (self->body_out->is_left()) return owner.finish(self, Outcome::kCancelled, false);
+    self->expect(owner, self, Outcome::kReset);
+    self->read_more(owner, self);
+  });
+}
+
+// Whether an answer is known to be larger than stays whole.
+bool Upstream::Attempt::is_large() const {
+  return parser->is_header_done() &&
+         (body.size() > kWholeBody || parser->content_length().value_or(0) > kWholeBody);
+}
+
+// Whether one that tells no length has come fast enough so far to be a large one on its way.
+bool Upstream::Attempt::moves() const {
+  return parser->is_header_done() && !parser->content_length() &&
+         parser->get().result() == http::status::ok && static_cast<double>(body.size()) >= kSlowest * kWhole;
+}
+
+// From here on the answer is passed on as it comes.
+void Upstream::Attempt::stream(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  halt(timer);
+  std::optional<std::uint64_t> length;
+  if (const auto told = parser->content_length()) length = *told;
+  body_out = std::make_shared<Pipe>(owner.io_, owner.budget_, length);
+  body_out->when_left([&owner, alive = owner.alive_, weak = std::weak_ptr(self)] {
+    const auto attempt = weak.lock();
+    if (attempt && *alive && !attempt->ended) owner.finish(attempt, Outcome::kCancelled, false);
+  });
+  body_out->write(body.data(), body.size());
+  body = {};
+  share.keep(piece.capacity());
+  report.begun(head(), body_out, elapsed());
+}
+
 // Given up, it may have run: the server had the request, or it would not have begun to answer.
 void Upstream::Attempt::begin_answer(Upstream& owner, const std::shared_ptr<Attempt>& self) {
+  first_byte = Clock::Steady::now();
   whole.expires_after(Clock::span(kWhole));
   whole.async_wait([&owner, alive = owner.alive_, self](error_code cancelled) {
-    if (cancelled || !*alive || self->ended || self->whole.expiry() > Clock::Steady::now()) return;
-    owner.finish(self, Outcome::kReset, false);
+    if (cancelled || !*alive || self->ended || self->body_out || self->whole.expiry() > Clock::Steady::now())
+      return;
+    if (!self->moves()) return owner.finish(self, Outcome::kReset, false);
+    // The read that is out goes on; what it brings finds the pipe.
+    self->stream(owner, self);
+    self->expect(owner, self, Outcome::kReset);
   });
   read_more(owner, self);
 }
 
+HttpResponse Upstream::Attempt::head() const {
+  HttpResponse out;
+  out.base() = parser->get().base();
+  return out;
+}
+
+double Upstream::Attempt::elapsed() const {
+  return std::chrono::duration<double>((body_out ? first_byte : Clock::Steady::now()) - begun).count();
+}
+
 void Upstream::Attempt::answered(Upstream& owner, const std::shared_ptr<Attempt>& self) {
-  const HttpResponse& answer = parser->get();
+  const http::response<http::buffer_body>& answer = parser->get();
   const unsigned status = answer.result_int();
   if (status >= 100 && status < 200) {
     if (status == 101 || ++interim > kMostInterim) return owner.finish(self, Outcome::kUnknown, false);
-    halt(whole);  // the answer itself has not begun
+    call_off(whole);  // the answer itself has not begun
     return read(owner, self);
   }
   // An answer that ends with its connection may have been cut short, unless the server meant to close.
@@ -464,7 +621,8 @@
       !http::token_list(answer[http::field::connection]).exists("close")) {
     return owner.finish(self, Outcome::kReset, false);
   }
-  owner.finish(self, outcome_of(answer), parser->keep_alive());
+  if (body_out) body_out->finish();
+  owner.finish(self, outcome_of(head()), parser->keep_alive());
 }
 
 // The connection is free again before the outcome is told: what the module sends next may use it.
@@ -485,9 +643,18 @@
     }
   }
   HttpResponse answer;
-  if (outcome == Outcome::kDelivered) answer = attempt->parser->release();
+  if (attempt->body_out) {
+    attempt->body_out->break_off();  // unless it is whole
+  } else if (outcome == Outcome::kDelivered) {
+    answer = attempt->head();
+    answer.body() = std::move(attempt->body);
+  }
+  // One that took nothing of it leaves it to the next.
+  if (attempt->rest && attempt->rest->touched()) attempt->rest->leave();
+  const double elapsed = attempt->elapsed();
   const Report report = std::move(attempt->report);
-  report(outcome, std::move(answer));
+  attempt->report = {};
+  report.ended(outcome, std::move(answer), elapsed);
 }
 
 }  // namespace thymewood::node
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -24,8 +24,15 @@
     double idle_close = 0;            // a server may close a connection that has stood idle this long
     std::size_t max_connections = 0;  // over all servers
   };
-  // How an attempt ended; the answer is there with kDelivered alone.
-  using Report = std::function<void(Outcome, HttpResponse&&)>;
+  // What is told of an attempt. `begun`, perhaps: a large answer has begun, and its body comes as the pipe
+  // gives it. `ended`, exactly once: how it ended, with the answer for kDelivered alone and only where it had
+  // not begun before. Both tell how long it took from when the request was sent, in s: up to its first bytes
+  // where the answer had begun, else up to now. A request whose body was still coming is sent with its last
+  // byte.
+  struct Report {
+    std::function<void(HttpResponse&& head, std::shared_ptr<Pipe> body, double elapsed)> begun;
+    std::function<void(Outcome, HttpResponse&&, double elapsed)> ended;
+  };
 
   class Attempt;
   using Handle = std::weak_ptr<Attempt>;
@@ -48,7 +55,7 @@
   void retire(const std::string& server);
 
   // Sends a request, once, and reports exactly once, never from within this call.
-  Handle start(const std::string& server, const std::shared_ptr<const HttpRequest>& request, double timeout,
+  Handle start(const std::string& server, const std::shared_ptr<const Outgoing>& request, double timeout,
                Report report);
   // Closes the attempt's connection; it is reported as kCancelled, unless its end is on its way already.
   void cancel(const Handle& attempt);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -499,7 +499,7 @@
   // ---------------------------------------------------------------- again?
 
   bool worth_another(const Pending& p) const {
-    return !p.streaming && p.attempts.size() < static_cast<std::size_t>(p.rules->max_attempts) &&
+    return !p.streaming && !p.spent && p.attempts.size() < static_cast<std::size_t>(p.rules->max_attempts) &&
            retry_tokens_ >= 1 && p.useful_until - now_ > p.rules->latency.mean / 2;
   }
 
@@ -600,6 +600,7 @@
     Attempt& a = p.attempts[static_cast<std::size_t>(r.attempt)];
     if (!a.open) return;
     a.open = false;
+    p.spent |= r.spent;
     a.may_have_run = !never_ran(r.outcome);
     ServerNode& s = servers_[a.server];
     s.in_flight -= 1;
--- a/src/support.h
+++ b/src/support.h
@@ -133,7 +133,7 @@
   std::shared_ptr<ClassState> rules;
   double useful_until = 0;  // when the answer becomes worthless
   std::vector<Attempt> attempts;
-  bool finished = false, streaming = false, within_share = false;
+  bool finished = false, streaming = false, spent = false, within_share = false;
 
   bool any_open() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
