Count a body on its way for no call in flight

Ruled out: memory (9 of 48 MB) and descriptors (108 of 1024). At fault: send() and AttemptResult in src/balance.cpp, which count an attempt from its choice to its end, so that a caller who takes seconds to send or to read takes up the tier's room. Now it counts from the request's last byte to the answer's first; a slow caller's body is held while there is memory, and a large one is not copied.

--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -81,6 +81,12 @@
   double time_left = 0;        // until the client gives up
   std::optional<double> work;  // announced work, seconds on a standard core
   bool is_repeat = false;      // the client marked it as a further try of its own
+  bool is_coming = false;      // its body is still on its way; RequestComplete tells of the last byte
+};
+
+// The last byte of a request has come; its time runs from here, and no server has begun it before.
+struct RequestComplete {
+  std::string id;
 };
 
 enum class Outcome {
@@ -95,7 +101,8 @@
   kUnknown      // anything else: it may have run
 };
 
-// An attempt of an answer that streams has begun to answer; the client owns it from here.
+// An attempt of an answer that streams has begun to answer; the client owns it from here. Its server has done
+// the work: the attempt counts for none in flight any more.
 struct AnswerStarted {
   std::string id;
   int attempt = 0;
@@ -159,7 +166,7 @@
 struct Started {};
 
 using Event = std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate,
-                           TimerFired, ServerSwitched, SettingsReplaced>;
+                           TimerFired, ServerSwitched, SettingsReplaced, RequestComplete>;
 
 // ---------------------------------------------------------------- actions
 
--- a/node/budget.h
+++ b/node/budget.h
@@ -13,8 +13,8 @@
   Budget& operator=(const Budget&) = delete;
   void limit(std::size_t most) { most_ = most; }
   std::size_t used() const { return used_; }
-  // Whether there is room for what could be done without.
-  bool is_ample() const { return used_ < most_ / 4; }
+  // Whether no more than a part of it is in use.
+  bool is_under(double part) const { return static_cast<double>(used_) < part * static_cast<double>(most_); }
 
   // What one holder has of it.
   class Share {
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -100,7 +100,8 @@
   held.path = ", class " + std::to_string(event.request_class) + ", given " + milliseconds(event.time_left);
   held.time_left = event.time_left;
   held.until = std::numeric_limits<double>::infinity();
-  if (!held.message->rest) run_clock(id, held);
+  event.is_coming = held.message->rest != nullptr;
+  if (!event.is_coming) run_clock(id, held);
   event.time_left = std::max(0.0, event.time_left - margin_of(event.time_left));
   happen(std::move(event));
 }
@@ -117,7 +118,9 @@
 
 void Dispatcher::complete(const std::string& id) {
   const auto at = held_.find(id);
-  if (at != held_.end() && !at->second.over()) run_clock(id, at->second);
+  if (at == held_.end() || at->second.over()) return;
+  run_clock(id, at->second);
+  happen(RequestComplete{id});
 }
 
 void Dispatcher::client_gone(const std::string& id) {
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -30,9 +30,12 @@
 // A body may come at this many bytes a second, half of what the slowest of those that are owed an answer
 // send, after a start of so many s; and it may pause for so many s.
 constexpr double kSlowest = 32e3, kBodyStart = 1.5, kBodyPause = 0.8;
-// Bytes of a body that are held, while there is ample memory, before a server is asked for. Danger: a caller
-// that takes seconds to send would hold a server, and count as a call in flight, for as long.
+// Bytes of a body that are held, while no more than a part of the memory is in use, before a server is asked
+// for. Danger: a caller that takes seconds to send would hold a server, and count as a call in flight, for as
+// long.
 constexpr std::size_t kHeldBody = std::size_t{1} * 1024 * 1024;
+constexpr double kSlowPart = 0.75, kQuickPart = 0.25;
+constexpr double kQuick = 1e6;         // bytes a second; a body that comes so is quick
 constexpr double kIdleWait = 10;       // s; between requests
 constexpr double kErrorPause = 0.1;    // s; after an error of the caller's, before the next request is read
 constexpr double kWriteWait = 5;       // s; for a client to take an answer
@@ -272,7 +275,7 @@
       return true;
     }
     const bool held = share_.hold(ahead_.capacity() + body_.capacity());
-    if (held && body_.size() <= (owner_->budget_.is_ample() ? kHeldBody : kWholeBody)) return true;
+    if (held && body_.size() <= most_held()) return true;
     if (parser_->is_done()) return held || refuse_unread();
     if (body_.size() <= kWholeBody) return refuse_unread();
     upload_ = std::make_shared<Pipe>(owner_->io_, owner_->budget_, length());
@@ -280,6 +283,13 @@
     return upload_ != nullptr;
   }
 
+  // A slow caller's body is held while there is memory for it, a quick one's will not take a server for long.
+  std::size_t most_held() const {
+    const double since = std::chrono::duration<double>(Clock::Steady::now() - head_at_).count();
+    const bool slow = static_cast<double>(came_) < kQuick * since;
+    return owner_->budget_.is_under(slow ? kSlowPart : kQuickPart) ? kHeldBody : kWholeBody;
+  }
+
   bool refuse_unread() {
     keep_alive_ = false;
     respond(refusal(owner_->limits_.busy_retry_after));
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -41,7 +41,8 @@
 // s. A large answer whose server is silent for so long is broken off, and a large request that its server
 // does not read from.
 constexpr double kSilence = 3;
-constexpr std::size_t kPiece = std::size_t{16} * 1024;  // bytes of a body that are parsed at a time
+constexpr std::size_t kCopied = std::size_t{16} * 1024;  // bytes of a body that are sent along with its head
+constexpr std::size_t kPiece = std::size_t{16} * 1024;   // bytes of a body that are parsed at a time
 // Bytes of an answer that may wait to be parsed: a whole head and some more. Danger: a parser asks for more
 // of a line that does not end, as in the extension of a chunk, for as long as there is room.
 constexpr std::size_t kMostUnparsed = kHeaderLimit + 16 * 1024;
@@ -121,7 +122,9 @@
   double timeout = 0;
   Clock::Steady::time_point begun = Clock::Steady::now();  // when it was sent, or is taken to be
   Clock::Steady::time_point until, first_byte;
-  std::string wire;  // the request as it is sent; empty again once it is out
+  std::string wire;                              // the request as it is sent; empty again once it is out
+  std::shared_ptr<const std::string> start_out;  // what follows it, where that is too large to have twice
+  bool head_out = false;                         // the wire is out, and this is being sent
   std::size_t written = 0;
   bool streamed = false;  // the request's body was still coming when it began
   bool sent = false;      // its last byte is written: from here on it may have run
@@ -400,7 +403,12 @@
   std::ostringstream text;
   text << out.base();
   wire = std::move(text).str();
-  wire += framed(request->request.body(), rest);
+  const std::string& start = request->request.body();
+  if (start.size() > kCopied && !(rest && !rest->length())) {
+    start_out = std::shared_ptr<const std::string>(request, &start);  // too large to have twice
+  } else {
+    wire += framed(start, rest);
+  }
   request.reset();
   if (!share.hold(wire.size())) return owner.end_later(self, Outcome::kNotSent);
   write(owner, self);
@@ -453,13 +461,21 @@
 // byte nothing that arrives can be meant for it, and a connection that is closed before that byte has run
 // nothing.
 void Upstream::Attempt::write(Upstream& owner, const std::shared_ptr<Attempt>& self) {
-  while (written < wire.size() || rest) {
-    if (written == wire.size()) {
+  while (written < wire.size() || start_out || rest) {
+    const std::string& now = start_out && head_out ? *start_out : wire;
+    if (written == now.size()) {
+      written = 0;
+      if (start_out && !std::exchange(head_out, true)) continue;
+      if (start_out) {
+        start_out.reset();
+        wire.clear();
+        continue;
+      }
       if (!next_of_rest(owner, self)) return;
       continue;
     }
     if (is_readable(connection->socket)) return owner.end_later(self, Outcome::kDialFailed);
-    const ssize_t n = ::send(connection->socket.native_handle(), wire.data() + written, wire.size() - written,
+    const ssize_t n = ::send(connection->socket.native_handle(), now.data() + written, now.size() - written,
                              MSG_DONTWAIT | MSG_NOSIGNAL);
     if (n > 0) {
       written += static_cast<std::size_t>(n);
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 #include "support.h"
 #include "thymewood/balancer.h"
@@ -520,15 +521,32 @@
     ServerNode& s = servers_[*server];
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + (p.attempts.empty() ? kRetryShare : -1));
     if (warmth(s) < 1) s.cold_tokens -= 1;
-    s.in_flight += 1;
-    s.sent_sum += now_;
-    in_flight_ += 1;
     s.named += 1;
     p.attempts.push_back({*server, now_});
+    // Danger: a body may take seconds to come, or an answer to go. Taken for work the server has in hand, a
+    // few of them would take up what the tier may hold, and all others be refused.
+    if (!p.coming) count(p.attempts.back());
     out_->push_back(Send{id, s.told.address, limit});
     return true;
   }
 
+  void count(Attempt& a) {
+    ServerNode& s = servers_[a.server];
+    a.counted = true;
+    a.sent = now_;
+    s.in_flight += 1;
+    s.sent_sum += now_;
+    in_flight_ += 1;
+  }
+
+  void discount(Attempt& a) {
+    if (!std::exchange(a.counted, false)) return;
+    ServerNode& s = servers_[a.server];
+    s.in_flight -= 1;
+    s.sent_sum -= a.sent;
+    in_flight_ -= 1;
+  }
+
   void answer_unserved(const std::string& id, Pending& p) {
     p.finished = true;
     if (!may_refuse(p)) return out_->push_back(Fail{id});
@@ -585,6 +603,8 @@
     const double aim = std::min(c.aim + c.aim_stretch * r.work.value_or(0), c.give_up);
     p.useful_until = now_ + std::min(r.time_left, c.late_worth > 0 ? r.time_left : aim - 2 * settings_.tick);
     p.within_share = within_share;
+    p.taken = now_;
+    p.coming = r.is_coming;
     if (send(r.id, p)) return;
     review(*tenant, true);
     note_shed(unplaced_);
@@ -603,10 +623,12 @@
     p.spent |= r.spent;
     a.may_have_run = !never_ran(r.outcome);
     ServerNode& s = servers_[a.server];
-    s.in_flight -= 1;
-    s.sent_sum -= a.sent;
-    in_flight_ -= 1;
-    learn_from(p, s, r);
+    discount(a);
+    if (!a.learned) {
+      learn_from(p, s, r);
+    } else if (r.outcome != Outcome::kDelivered && r.outcome != Outcome::kCancelled) {
+      note_health(s, false);
+    }
     if (r.request_done && !p.finished) {
       p.finished = true;
       cancel_open(r.id, p);
@@ -656,7 +678,24 @@
 
   void on(const AnswerStarted& r) {
     const auto it = pending_.find(r.id);
-    if (it != pending_.end()) it->second.streaming = true;
+    if (it == pending_.end()) return;
+    Pending& p = it->second;
+    p.streaming = true;
+    if (r.attempt < 0 || static_cast<std::size_t>(r.attempt) >= p.attempts.size()) return;
+    Attempt& a = p.attempts[static_cast<std::size_t>(r.attempt)];
+    if (!a.open || std::exchange(a.learned, true)) return;
+    discount(a);
+    learn_from(p, servers_[a.server], {r.id, r.attempt, Outcome::kDelivered, r.elapsed});
+  }
+
+  void on(const RequestComplete& r) {
+    const auto it = pending_.find(r.id);
+    if (it == pending_.end() || !std::exchange(it->second.coming, false)) return;
+    Pending& p = it->second;
+    p.useful_until += now_ - p.taken;
+    for (Attempt& a : p.attempts) {
+      if (a.open && !a.counted && !a.learned) count(a);
+    }
   }
 
   void on(const RequestGone& r) {
--- a/src/support.h
+++ b/src/support.h
@@ -125,6 +125,7 @@
   std::size_t server = 0;
   double sent = 0;
   bool open = true, may_have_run = true;
+  bool counted = false, learned = false;  // as in flight; what it tells of its server
 };
 
 // A request that still owes an answer, or has attempts out.
@@ -132,8 +133,9 @@
   std::shared_ptr<TenantState> tenant;
   std::shared_ptr<ClassState> rules;
   double useful_until = 0;  // when the answer becomes worthless
+  double taken = 0;         // when it came
   std::vector<Attempt> attempts;
-  bool finished = false, streaming = false, spent = false, within_share = false;
+  bool finished = false, streaming = false, spent = false, within_share = false, coming = false;
 
   bool any_open() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -115,6 +115,57 @@
   EXPECT_EQ(copy.balancer.servers_avoided(copy.now + 60), 0U);
 }
 
+// ---------------------------------------------------------------- bodies on their way
+
+Request coming(const std::string& id) {
+  Request r;
+  r.id = id;
+  r.time_left = 6;
+  r.is_coming = true;
+  return r;
+}
+
+// Danger: callers that take seconds to send, or to take an answer, would fill what the tier may hold.
+TEST(Bodies, OnTheirWayAreNoCallsInFlight) {
+  Copy copy(basic_settings());
+  copy.at(0, members(1));
+  for (int i = 0; i < 50; ++i)
+    ASSERT_EQ(all<Send>(copy.at(0, coming("c" + std::to_string(i)))).size(), 1U) << i;
+  EXPECT_EQ(all<Send>(copy.request("r")).size(), 1U);
+  // Once they are all there they count, and others are refused.
+  for (int i = 0; i < 50; ++i) copy.at(0, RequestComplete{"c" + std::to_string(i)});
+  EXPECT_EQ(all<Refuse>(copy.request("late")).size(), 1U);
+  // An answer that has begun counts no more.
+  for (int i = 0; i < 50; ++i) copy.at(0, AnswerStarted{"c" + std::to_string(i), 0, 0.1});
+  EXPECT_EQ(all<Send>(copy.request("room")).size(), 1U);
+  for (int i = 0; i < 50; ++i) {
+    const Outcome outcome = i % 2 == 0 ? Outcome::kDelivered : Outcome::kReset;
+    EXPECT_TRUE(copy.at(copy.now, AttemptResult{"c" + std::to_string(i), 0, outcome, 0.1, true}).empty());
+  }
+  EXPECT_EQ(all<Send>(copy.request("after")).size(), 1U);
+}
+
+TEST(Bodies, TheTimeOfOneRunsFromItsLastByte) {
+  Copy copy(basic_settings());
+  copy.at(0, members(2));
+  ASSERT_EQ(all<Send>(copy.at(0, coming("c"))).size(), 1U);
+  copy.at(20, RequestComplete{"c"});
+  const auto again = all<Send>(copy.at(20.5, AttemptResult{"c", 0, Outcome::kRejected, 0.5}));
+  ASSERT_EQ(again.size(), 1U) << "20 s of sending are not taken off";
+  EXPECT_LE(again[0].timeout, 5.5);
+}
+
+TEST(Bodies, OneThatIsSpentIsNotSentAgain) {
+  Copy copy(basic_settings());
+  copy.at(0, members(2));
+  ASSERT_EQ(all<Send>(copy.at(0, coming("c"))).size(), 1U);
+  AttemptResult broken{"c", 0, Outcome::kDialFailed, 0.1};
+  broken.spent = true;
+  const auto actions = copy.at(0.1, broken);
+  EXPECT_TRUE(all<Send>(actions).empty());
+  EXPECT_EQ(all<Refuse>(actions).size(), 1U) << "it never ran";
+}
+
 // ---------------------------------------------------------------- settings that are replaced
 
 Settings named_settings(int max_attempts) {
