--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -35,10 +35,12 @@
   Effect effect = Effect::kUnsafe;
   DedupScope dedup_scope = DedupScope::kAll;
   double dedup_window = 0;  // repeats are dropped this long after the first send that may have run
+  std::string name = {};    // tells which class goes on when settings are replaced; may be empty
 };
 
 struct Tenant {
   std::optional<double> allowance;  // requests per second over all copies that are within its share
+  std::string name = {};            // as with classes
 };
 
 struct Settings {
@@ -66,6 +68,9 @@
   double cross_zone_price = 0;  // what a call to another zone costs; 0: zones need no preference
 };
 
+// Throws std::invalid_argument, naming the field, when the settings cannot be used.
+void validate(const Settings& settings);
+
 // ---------------------------------------------------------------- events
 
 // A client's request, or a caller's call, wants a server.
@@ -76,6 +81,12 @@
   double time_left = 0;        // until the client gives up
   std::optional<double> work;  // announced work, seconds on a standard core
   bool is_repeat = false;      // the client marked it as a further try of its own
+  bool is_coming = false;      // its body is still on its way; RequestComplete tells of the last byte
+};
+
+// The last byte of a request has come; its time runs from here, and no server has begun it before.
+struct RequestComplete {
+  std::string id;
 };
 
 enum class Outcome {
@@ -90,7 +101,8 @@
   kUnknown      // anything else: it may have run
 };
 
-// An attempt of an answer that streams has begun to answer; the client owns it from here.
+// An attempt of an answer that streams has begun to answer; the client owns it from here. Its server has done
+// the work: the attempt counts for none in flight any more.
 struct AnswerStarted {
   std::string id;
   int attempt = 0;
@@ -104,6 +116,7 @@
   Outcome outcome = Outcome::kUnknown;
   double elapsed = 0;         // since it was sent
   bool request_done = false;  // the request needs no further answer
+  bool spent = false;         // it can't be sent again: a part of its body is gone
 };
 
 // The client left, or its time is up; nothing more is owed.
@@ -143,11 +156,17 @@
   bool enabled = true;
 };
 
+// Other settings hold from here on. Requests that came before keep the rules that they came under; what was
+// learned of a tenant or a class goes on where its name does.
+struct SettingsReplaced {
+  Settings settings;
+};
+
 // The copy starts: the first event, so that it can ask for what it needs.
 struct Started {};
 
 using Event = std::variant<Started, Request, AnswerStarted, AttemptResult, RequestGone, MembershipUpdate,
-                           TimerFired, ServerSwitched>;
+                           TimerFired, ServerSwitched, SettingsReplaced, RequestComplete>;
 
 // ---------------------------------------------------------------- actions
 
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -1,6 +1,7 @@
 // The callers' side: their connections, what they may ask, and the answers.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +35,9 @@
 
   // Throws boost::system::system_error when the address can't be listened on.
   void listen(const boost::asio::ip::tcp::endpoint& where);
+  // Other settings; requests that were taken go on by the rules they came under.
+  void replace(Catalog catalog, double busy_retry_after);
+  const Catalog& catalog() const { return catalog_; }
   // Serves on a listening socket that others hold too: a drain leaves what waits there to them.
   void adopt(int listener);
   void start();
@@ -71,10 +75,12 @@
   // Those that may be closed for others, the one that has waited the longest first: callers that never asked
   // for anything that can be served, and those between two requests.
   std::list<Session*> strangers_, idle_;
-  int spare_ = -1;  // a descriptor in reserve
+  int spare_ = -1;                                    // a descriptor in reserve
+  std::array<char, std::size_t{16} * 1024> piece_{};  // of a body, while it is parsed
   bool accepting_ = false, draining_ = false, closing_ = false;
   bool adopted_ = false;                   // the listening socket: a successor serves on it
   Clock::Steady::time_point last_answer_;  // of a drain
+  Clock::Steady::time_point late_until_;   // callers may ask by the settings before
   std::function<void()> drained_;
 };
 
--- a/tests/node_harness.h
+++ b/tests/node_harness.h
@@ -169,10 +169,15 @@
     }
     return std::exchange(got_, {});
   }
+  // What comes next; empty at the end of the connection.
+  std::string read_some() {
+    if (got_.empty()) more();
+    return std::exchange(got_, {});
+  }
   bool more() {
     pollfd wait{fd_.get(), POLLIN, 0};
     if (::poll(&wait, 1, static_cast<int>(std::chrono::milliseconds(kPatience).count())) <= 0) return false;
-    char piece[4096];
+    char piece[16384];
     const ssize_t n = ::recv(fd_.get(), piece, sizeof piece, 0);
     if (n <= 0) return false;
     got_.append(piece, static_cast<std::size_t>(n));
@@ -424,7 +429,8 @@
       ::setenv("RELAY_CONFIG", file.c_str(), 1);
       ::unsetenv("TMPDIR");
       for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
-      if (inherited >= 0) ::dup2(inherited, kInherited);
+      // Where it is that number already, it would be closed on exec all the same.
+      if (inherited >= 0 && ::dup2(inherited, kInherited) == kInherited) ::fcntl(kInherited, F_SETFD, 0);
       if (descriptors > 0) {
         const rlimit limit{descriptors, descriptors};
         ::setrlimit(RLIMIT_NOFILE, &limit);
@@ -450,6 +456,8 @@
 
   static constexpr int kInherited = 7;
 
+  int port_now() const { return logged_port("listening on 127.0.0.1:"); }
+
   int port() {
     if (port_ == 0) port_ = logged_port("listening on 127.0.0.1:");
     return port_;
@@ -511,6 +519,10 @@
   int sockets = 256, memory_mb = 192;
   std::string bounds = R"("cancel":true,"maxAttempts":3,"maxRetryAfter":2.0,"retryAfter":true,)"
                        R"("secondCopies":true,"dialTimeout":0.5,"idleClose":60.0)";
+  std::string classes =
+      R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)"
+      R"({"name":"mark","aim":5.0,"giveUp":15.0,"effect":"keyed","group":"cell","dedupWindow":15.0,"lateWorth":0.5},)"
+      R"({"name":"close","aim":5.0,"giveUp":15.0,"effect":"unsafe","lateWorth":0.5})";
   std::string text() const {
     return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery +
            R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memory_mb) +
@@ -518,11 +530,8 @@
            (known.empty() ? "" : R"("known":)" + known + ",") +
            (ops.empty() ? "" : R"("ops":")" + ops + "\",") +
            R"("settings":{"azs":["a"],"peersTotal":1,"position":0,"stage":0,"zone":0,"granularity":0.005,)" +
-           R"("registryMode":")" + mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" +
-           R"({"name":"look","aim":5.0,"giveUp":15.0,"effect":"safe","lateWorth":0.5},)" +
-           R"({"name":"mark","aim":5.0,"giveUp":15.0,"effect":"keyed","group":"cell","dedupWindow":15.0,"lateWorth":0.5},)" +
-           R"({"name":"close","aim":5.0,"giveUp":15.0,"effect":"unsafe","lateWorth":0.5}],)" +
-           R"("realms":[{"name":"acme","share":1.0}],"rules":{"askWithin":10.0}}})";
+           R"("registryMode":")" + mode + R"(","bounds":{)" + bounds + R"(},"categories":[)" + classes +
+           R"(],"realms":[{"name":"acme","share":1.0}],"rules":{"askWithin":10.0}}})";
   }
 };
 
