--- a/node/discovery.cpp
+++ b/node/discovery.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <cmath>
 #include <iostream>
 #include <stdexcept>
 #include <utility>
@@ -18,9 +19,10 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// s. An empty line comes every 2 s: two that are missed, and some lateness, tell of a watch that is dead.
+// s. An empty line comes every 2 s: one that is missed, and some lateness, tell of a watch that is dead.
 // Danger: what discovery has to tell counts as told 6 s later, so that a longer patience breaks a drain.
-constexpr double kSilence = 4.5;
+constexpr double kSilence = 3;
+constexpr double kShortestPause = 0.1, kLongestPause = 2;  // s; between watches, in the mean
 // At a new address, before the module hears of a failure: watches tried, and the pause between them in s.
 constexpr int kFirstTries = 4;
 constexpr double kFirstPause = 0.3;
@@ -44,6 +46,10 @@
   return tcp::endpoint(address, port);
 }
 
+double pause_before_watch(int failures, double draw) {
+  return std::min(kLongestPause, std::ldexp(kShortestPause, std::min(failures, 10))) * (0.5 + draw);
+}
+
 Membership read_membership(const json::Value& in, const Directory& directory, const Clock& clock) {
   Membership out;
   out.index = json::token(in, "index");
--- a/node/discovery.h
+++ b/node/discovery.h
@@ -41,6 +41,11 @@
 // Throws std::exception, naming the field.
 Membership read_membership(const json::Value& in, const Directory& directory, const Clock& clock);
 
+// s; how long to wait before a broken watch is made anew, after so many that told nothing, for a draw from 0
+// to 1. Danger: what discovery has to tell counts as told whether it arrives or not, so that the first must
+// not wait; and many nodes lose their watches together, so that they must not come back together.
+double pause_before_watch(int failures, double draw);
+
 class Discovery {
  public:
   // Exactly one of these is called as the first answer to each watch(); afterwards `update` for each change
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -25,8 +25,7 @@
 constexpr double kMarginPart = 0.02;
 // Of the margin. If by then, for whatever reason, there is no answer, the node fails the request itself.
 constexpr double kGuardPart = 0.5;
-constexpr int kMostPaths = 100;   // log lines a second about requests that went badly; a flood gets no more
-constexpr double kReconnect = 1;  // s; mean wait before a broken watch is made anew, where lists are pushed
+constexpr int kMostPaths = 100;  // log lines a second about requests that went badly; a flood gets no more
 
 double margin_of(double time_left) { return std::min(kMargin, kMarginPart * time_left); }
 
@@ -136,6 +135,7 @@
 
 void Dispatcher::told(const Membership& update) {
   has_list_ = true;
+  failures_ = 0;
   members(update);
 }
 
@@ -195,7 +195,7 @@
   happen(MembershipUpdate{MembershipUpdate::Form::kFailed, {}});
   if (must_watch_) return;
   // Where lists are pushed the module asks for none: it is for the node to stay connected.
-  const double wait = kReconnect * std::uniform_real_distribution<>(0.5, 1.5)(jitter_);
+  const double wait = pause_before_watch(failures_++, std::uniform_real_distribution<>()(jitter_));
   const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(wait));
   timer->async_wait([this, timer](error_code cancelled) {
     if (!cancelled) watch_();
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -118,6 +118,7 @@
   std::set<std::string> out_;  // by hand
   std::size_t ready_ = 0;      // that may get work
   bool has_list_ = false;
+  int failures_ = 0;  // of watches, since one told something
   std::deque<Event> events_;
   bool handling_ = false, failed_ = false, module_failed_ = false;
   double paths_since_ = 0;  // when the count of logged paths began, anew each second
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,4 +1,5 @@
 // The real node, over loopback sockets.
+#include "discovery.h"
 #include "node_harness.h"
 
 namespace thymewood::node {
@@ -410,6 +411,34 @@
   }
 }
 
+TEST(Watch, TheFirstNewOneComesAtOnceAndFurtherOnesEverLater) {
+  EXPECT_LE(pause_before_watch(0, 1), 0.2);
+  for (int failures = 0; failures < 4; ++failures) {
+    EXPECT_NEAR(pause_before_watch(failures + 1, 0.5), 2 * pause_before_watch(failures, 0.5), 1e-9);
+    EXPECT_NEAR(pause_before_watch(failures, 1), 3 * pause_before_watch(failures, 0), 1e-9) << "a jitter";
+  }
+  EXPECT_EQ(pause_before_watch(1000, 1), pause_before_watch(10, 1));
+  EXPECT_LE(pause_before_watch(1000, 1), 3);
+}
+
+// Guards against a line that stops half-way: what it says, and what came after it, is asked for again.
+TEST(Watch, OneThatStopsHalfWayIsTakenUpAfterTheListInHand) {
+  FakeServer one(replies(200, "one")), two(replies(200, "two"));
+  Deployment d({&one});
+  ASSERT_TRUE(d.discovery.say(list(8, true, member("s0", one.address()))));
+  const std::string next = list(9, true, member("s1", two.address())) + "\n";
+  d.discovery.answer_with("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(next));
+  ASSERT_TRUE(d.discovery.say_raw(chunk(next.substr(0, next.size() / 2))));
+  int n = 0;
+  EXPECT_TRUE(eventually([&] {
+    Wire client = d.client();
+    client.write(Ask{.id = "h" + std::to_string(++n)}.text());
+    return body_of(client.read_message()) == "two";
+  }));
+  ASSERT_GE(d.discovery.calls().size(), 2U);
+  EXPECT_NE(d.discovery.calls()[1].find("after=8 "), std::string::npos) << d.discovery.calls()[1];
+}
+
 TEST(Watch, ASilentOneIsGivenUp) {
   FakeServer server(replies(200, "ok"));
   Deployment d({&server});
