Keep a slow newcomer where others have been idle for 2 s

Ruled out: the time-outs, which allow 2.5 s for a head. At fault: Frontend::evict(), which closes whoever has not been served yet before the connections that asked once and stay, also one that is sending its first request.

--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -62,6 +62,9 @@
     kReadSize;                           // bytes of read-ahead that an idle connection may keep room for
 constexpr std::size_t kHeadCost = 1024;  // bytes; what a request holds besides its body, about
 constexpr int kBacklog = 1024;
+// s. A new caller that has sent nothing for so long is none; and a connection between two requests may be
+// closed after so long, as the operators' terms have it.
+constexpr double kSilent = 0.5, kMayClose = 2;
 constexpr double kLate = 2;  // s; how long after a reload callers may still ask as they did before
 
 std::string decimal_seconds(double seconds) {
@@ -101,6 +104,10 @@
 
   std::list<std::shared_ptr<Session>>::iterator at;  // in the owner's list
 
+  // Has sent nothing of a request for at least so many s.
+  bool is_quiet(double seconds) const {
+    return !begun_ && Clock::Steady::now() - quiet_since_ >= Clock::span(seconds);
+  }
   bool is_idle() const { return state_ == State::kReading && ahead_.size() == 0 && !begun_; }
   bool has_unread() {
     error_code ignored;
@@ -164,6 +171,7 @@
   void next_request() {
     state_ = State::kReading;
     begun_ = false;
+    quiet_since_ = Clock::Steady::now();
     parser_.emplace();
     parser_->header_limit(kHeaderLimit);
     parser_->body_limit(kBodyLimit);
@@ -600,6 +608,7 @@
   std::list<Session*>* list_ = nullptr;
   std::list<Session*>::iterator listed_at_;
   std::size_t lingered_ = 0;
+  Clock::Steady::time_point quiet_since_;  // when it was last ready for a request
   std::optional<http::request_parser<http::buffer_body>> parser_;
   std::string body_;                   // as far as it has come and is held
   std::size_t came_ = 0;               // bytes of the body
@@ -696,16 +705,19 @@
 
 // Danger: by idle time alone, hundreds of connections that say nothing push out the callers that wait between
 // two requests. Who has never asked for anything goes first, the one that has been there the longest before
-// the others.
+// the others. But one that is sending its first request, which may take it 2 s, stays while there are
+// connections that may be closed without harm: those that asked once and stay would push it out.
 bool Frontend::evict() {
-  for (const std::list<Session*>* list : {&strangers_, &idle_}) {
-    for (Session* session : *list) {
-      if (session->has_unread()) continue;
+  const auto close_one = [](const std::list<Session*>& list, double quiet) {
+    for (Session* session : list) {
+      if ((quiet > 0 && !session->is_quiet(quiet)) || session->has_unread()) continue;
       session->close();
       return true;
     }
-  }
-  return false;
+    return false;
+  };
+  return close_one(strangers_, kSilent) || close_one(idle_, kMayClose) || close_one(strangers_, 0) ||
+         close_one(idle_, 0);
 }
 
 void Frontend::ended(Session& session) {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -54,6 +54,32 @@
   EXPECT_EQ(status_of(usual.read_message()), 200) << "its connection is still there";
 }
 
+// Guards against connections that asked once and stay, and push out one that is slow with its first request.
+TEST(BadClients, ASlowNewcomerStaysWhereOthersHaveBeenIdleForLong) {
+  FakeServer server(replies(200, "ok"));
+  ConfigText config;
+  config.sockets = 64;  // 20 connections of callers
+  Deployment d({&server}, config);
+  std::vector<Wire> idle;
+  for (int i = 0; i < 19; ++i) {
+    idle.push_back(d.client());
+    idle.back().write(Ask{.id = "idle" + std::to_string(i)}.text());
+    ASSERT_EQ(status_of(idle.back().read_message()), 200);
+  }
+  std::this_thread::sleep_for(2500ms);  // from now on they may be closed without harm
+  Wire slow = d.client();
+  const std::string text = Ask{.id = "slow"}.text();
+  slow.write(text.substr(0, 40));
+  for (int i = 0; i < 10; ++i) {
+    Wire other = d.client();
+    other.write(Ask{.id = "other" + std::to_string(i)}.text());
+    ASSERT_EQ(status_of(other.read_message()), 200);
+    idle.push_back(std::move(other));
+  }
+  slow.write(text.substr(40));
+  EXPECT_EQ(status_of(slow.read_message()), 200);
+}
+
 TEST(BadClients, ErrorsAreAnsweredOneByOneAndTheConnectionStays) {
   FakeServer server(replies(200, "ok"));
   Deployment d({&server});
