--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -43,6 +43,14 @@
     cp -r CMakeLists.txt cmake include src json adapter node deploy tests "$scratch"
     cd "$scratch"
     bash -euo pipefail -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
+    # What the fleet's platform asks of the real node: one process by exec, linked dynamically, and nothing that
+    # starts another or moves bytes behind the platform's back.
+    grep -q '^run = "exec ' deploy/balancer.toml
+    program=$(sed -n 's/^run = "exec \(.*\)"$/\1/p' deploy/balancer.toml)
+    readelf -d "$program" | grep -q 'NEEDED.*libc\.so'
+    nm -D --undefined-only "$program" | awk '{ sub("@.*", "", $2); print $2 }' >symbols
+    grep -qx recv symbols  # the list is one that can be looked through
+    if grep -xE 'v?fork|clone|posix_spawnp?|system|popen|exec[vl].*|v?m?splice|tee|sendfile(64)?|io_uring.*|syscall' symbols; then exit 1; fi
     reply=$(echo '{"clock":1,"turn":1,"nodes":[]}' | sh -c "$(sed -n 's/^sim = "\(.*\)"$/\1/p' deploy/balancer.toml)")
     [ "$reply" = '{"turn":1,"nodes":[]}' ]
     # The real node, told of one server: it must come up, say that it can serve, and end well when asked to.
@@ -67,6 +75,24 @@
     head -1 <&3 | grep '^HTTP/1.1 200'
     kill -TERM $node
     wait $node ;;
+  regress)  # the script that plays the benches tells a bad play from a good one, here of benches that play nothing
+    kit=$scratch
+    mkdir -p "$scratch/sites" "$scratch/bin"
+    touch "$scratch/sites/akl-build.toml"
+    fails() { if KIT=$kit ./regress.sh "$@" >"$scratch/out" 2>&1; then cat "$scratch/out"; exit 1; fi; }
+    bench() { printf '#!/bin/sh\n%s\n' "$1" >"$scratch/bin/lbsim" && chmod +x "$scratch/bin/lbsim"; }
+    bench 'echo "day  score 0.97 $*"'
+    KIT=$scratch ./regress.sh module --quick | grep 'score .*akl-build.toml --quick'
+    bench 'echo "day  score 0.00  BROKEN: drain"'
+    fails module
+    bench 'echo "GATE failed"'
+    fails module
+    bench 'exit 3'
+    fails module
+    fails ops      # no such bench in this kit
+    fails nothing  # no such panel
+    kit=$scratch/none
+    fails module ;;  # no kit
   *)
     echo "unknown check $name" >&2
     exit 2 ;;
