Notice a client that leaves while nothing more is read from its connection

Session::read stopped at a full read-ahead or a full upload, and was not begun again when the next turn came out of what had been read ahead (frontend.cpp, read and next_request): a client that went then was never noticed, and each of its pipelined requests was sent on in turn. While reads are held back the socket is now asked ten times a second whether the client has closed its side, and each turn that comes out of read-ahead asks first. An end that stands behind bytes for which the node has no room can't be known; such a request never has its last byte.

--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -1,6 +1,7 @@
 #include "frontend.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,6 +52,7 @@
 // that once find none free turn from the node for good, though it could serve them for seconds. Several may
 // ask before the first that is refused has its connection back.
 constexpr std::size_t kFreePart = 4;
+constexpr double kLook = 0.1;          // s; between looks at a client that is not read from while it waits
 constexpr double kAcceptOn = 0.5;      // s; of accepting after the drain has begun
 constexpr double kAcceptPause = 0.02;  // s; after an accept that failed
 constexpr std::size_t kReadSize = 4096;
@@ -82,14 +84,15 @@
 
 }  // namespace
 
-// One client's connection. There is always a read on it, so that a client that goes is noticed; what comes
-// ahead of its turn is kept, up to a bound.
+// One client's connection. A read on it, or a look now and then, notices a client that goes; what comes ahead
+// of its turn is kept, up to a bound.
 class Frontend::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Frontend& owner, tcp::socket socket, bool turned_away)
       : owner_(&owner),
         socket_(std::move(socket)),
         timer_(owner.io_),
+        presence_(owner.io_),
         turned_away_(turned_away),
         share_(owner.budget_) {}
 
@@ -125,6 +128,7 @@
     error_code ignored;
     unlist();
     halt(timer_);
+    halt(presence_);
     socket_.close(ignored);
     let_go();
     Frontend* owner = std::exchange(owner_, nullptr);
@@ -181,11 +185,13 @@
     body_.clear();
     came_ = 0;
     continue_sent_ = false;
+    if (ahead_.size() > 0 && has_left()) return close();
     parse();
-    if (state_ != State::kReading) return;
-    if (proven_ ? !begun_ : list_ == nullptr) enlist(proven_ ? owner_->idle_ : owner_->strangers_);
-    if (!begun_) trim();
-    read();
+    if (state_ == State::kReading) {
+      if (proven_ ? !begun_ : list_ == nullptr) enlist(proven_ ? owner_->idle_ : owner_->strangers_);
+      if (!begun_) trim();
+    }
+    read();  // the turn may have come out of what was read ahead, and made room
   }
 
   void enlist(std::list<Session*>& list) {
@@ -201,8 +207,8 @@
   }
 
   void read() {
-    if (reading_ || state_ == State::kClosed || ahead_.size() > kMostAhead - kReadSize) return;
-    if (upload_ && !upload_->has_room()) return;
+    if (reading_ || state_ == State::kClosed) return;
+    if (!may_read()) return look_after();
     reading_ = true;
     socket_.async_read_some(asio::buffer(scratch_),
                             [self = shared_from_this()](error_code bad, std::size_t n) {
@@ -211,10 +217,34 @@
                             });
   }
 
+  bool may_read() const {
+    return ahead_.size() <= kMostAhead - kReadSize && (!upload_ || upload_->has_room());
+  }
+
+  // While nothing more is taken in no read tells of a client that goes: it is looked for now and then.
+  void look_after() {
+    if (looking_ || state_ != State::kWaiting) return;
+    looking_ = true;
+    presence_.expires_after(Clock::span(kLook));
+    presence_.async_wait([self = shared_from_this()](error_code) {
+      self->looking_ = false;
+      if (self->owner_ == nullptr || self->state_ != State::kWaiting) return;
+      if (self->has_left()) return self->close();
+      self->read();
+    });
+  }
+
+  // Whether the client has closed its side, also behind bytes that are not read yet.
+  bool has_left() {
+    pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+    return left_ || (::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+  }
+
   void take(error_code bad, std::size_t n) {
     if (owner_ == nullptr || state_ == State::kClosed) return;
     // A client that closes has gone, whatever it still has a right to.
     if (bad) {
+      left_ = true;
       if (state_ != State::kWriting || download_) close();
       return;
     }
@@ -505,6 +535,7 @@
     count(end_of(response_.result()));
     response_ = {};
     share_.keep(ahead_.capacity());
+    if (left_) return close();
     if (!keep_alive_) return linger();
     if (std::exchange(pause_, false)) {
       // Guards the others against one who asks the same again at full speed: he is read from now and then.
@@ -592,10 +623,11 @@
 
   Frontend* owner_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  asio::steady_timer timer_, presence_;
   bool turned_away_;
   State state_ = State::kReading;
-  bool reading_ = false;                      // a read is out
+  bool reading_ = false, looking_ = false;    // a read is out; a look at whether the client is there
+  bool left_ = false;                         // it has closed its side
   bool proven_ = false;                       // has asked for something that can be served
   bool pause_ = false;                        // after this answer
   bool begun_ = false;                        // a byte of the request has come
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -6,7 +6,7 @@
 namespace thymewood::node {
 namespace {
 
-constexpr std::size_t kKilo = 1024;
+constexpr std::size_t kKilo = 1024, kMega = kKilo * 1024;
 
 // A node before one server whose connections the test holds in its own hands.
 struct OneServer {
@@ -129,5 +129,72 @@
   expect_next(node, server);
 }
 
+// Guards against a client that is not looked for while nothing more of its body can be taken in.
+TEST_P(Left, WithABodyHalfSentWhileADialHangs) {
+  OneServer node;
+  node.server.fill();
+  Wire client = node.client();
+  client.write(Ask{.id = "gone", .body = std::string(4 * kMega, 'b')}.text().substr(0, kMega + 64 * kKilo));
+  ASSERT_TRUE(eventually([&] { return node.server.dials() == 1; }));
+  leave(client);
+  EXPECT_TRUE(node.has_noticed("gone"));
+  Wire server(node.server.accept());
+  expect_next(node, server);
+}
+
+TEST_P(Left, WithAWriteHalfOut) {
+  OneServer node;
+  Wire client = node.client();
+  const std::size_t length = 48 * kMega;
+  const std::string text = Ask{.id = "gone", .body = std::string(length, 'b')}.text();
+  client.write_what_goes(text);
+  Wire server(node.server.accept());
+  leave(client);
+  // An end stands behind what the node has no room for; a reset is known at once.
+  if (GetParam()) EXPECT_TRUE(node.has_noticed("gone"));
+  EXPECT_LT(server.read_rest().size(), length) << "its last byte never comes";
+  EXPECT_TRUE(node.has_noticed("gone"));
+  EXPECT_TRUE(node.is_idle());
+}
+
+TEST_P(Left, WithMoreBehindThanIsReadAhead) {
+  OneServer node;
+  Wire client = node.client();
+  std::string behind;
+  for (int i = 0; i < 400; ++i) behind += look("behind" + std::to_string(i)).text();
+  client.write(look("gone").text() + behind);
+  Wire server(node.server.accept());
+  ASSERT_EQ(field_of(server.read_message(), "X-Request-ID"), "gone");
+  leave(client);
+  EXPECT_TRUE(node.is_idle());
+  server.write(http_answer(200, "late"));
+  EXPECT_TRUE(node.has_noticed("gone"));
+  expect_next(node, server);
+}
+
+// Guards against a connection that is not read from again once its turn has come out of what was read ahead.
+TEST_P(Left, InATurnThatCameFromWhatWasReadAhead) {
+  OneServer node;
+  Wire client = node.client();
+  const std::string fill = "X-Fill: " + std::string(7 * kKilo, 'x') + "\r\n";
+  std::string text;
+  for (const char* id : {"first", "gone", "behind1", "behind2"}) {
+    Ask ask = look(id);
+    ask.fields = fill;
+    text += ask.text();
+  }
+  client.write(text);
+  Wire server(node.server.accept());
+  ASSERT_EQ(field_of(server.read_message(), "X-Request-ID"), "first");
+  server.write(http_answer(200, "ok"));
+  EXPECT_EQ(body_of(client.read_message()), "ok");
+  ASSERT_EQ(field_of(server.read_message(), "X-Request-ID"), "gone");
+  leave(client);
+  EXPECT_TRUE(node.is_idle());
+  server.write(http_answer(200, "late"));
+  EXPECT_TRUE(node.has_noticed("gone"));
+  expect_next(node, server);
+}
+
 }  // namespace
 }  // namespace thymewood::node
