Notice a server that breaks off while the client's body pauses

Ruled out: the answer being lost in the linger. The connection is now watched from the first such pause on. LargeRequests.WhenAServerBreaksOffInAPauseTheClientHearsAtOnce fails without it. Besides, finish takes a reference again, and the queue's first is held by the one function that ends it.

--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -123,6 +123,7 @@
   std::shared_ptr<const std::string> start_out;  // what follows it, where that is too large to have twice
   bool head_out = false;                         // the wire is out, and this is being sent
   std::size_t written = 0;
+  bool watched = false;   // its connection, for a server that breaks off before it has it all
   bool streamed = false;  // the request's body was still coming when it began
   bool sent = false;      // its last byte is written: from here on it may have run
   std::optional<http::response_parser<http::buffer_body>> parser;
@@ -238,6 +239,12 @@
   if (attempt && !attempt->sent) cancel(handle);
 }
 
+// The one that has waited the longest for a connection gets none.
+void Upstream::fail_first(Pool& pool) {
+  const std::shared_ptr<Attempt> first = pool.waiting.front();
+  finish(first, Outcome::kDialFailed, false);
+}
+
 void Upstream::leave_queue(const Attempt& attempt) {
   if (!attempt.pool) return;
   std::erase_if(attempt.pool->waiting, [&](const auto& waits) { return waits.get() == &attempt; });
@@ -273,8 +280,7 @@
   }
   drop(connection);
   // Each that waits has a dial; one whose place was taken over by a freed connection leaves a spare.
-  if (pool->rests == 0 && pool->waiting.size() > pool->dialling)
-    finish(pool->waiting.front(), Outcome::kDialFailed, false);
+  if (pool->rests == 0 && pool->waiting.size() > pool->dialling) fail_first(*pool);
 }
 
 void Upstream::forget(Pool& pool, const Connection& connection) {
@@ -325,8 +331,7 @@
     drop(connection);
     // Each that waits has a dial. This one may have been the last one's, to where the server no longer
     // listens or to one that speaks unasked.
-    if (pool->rests == 0 && pool->waiting.size() > pool->dialling)
-      finish(pool->waiting.front(), Outcome::kDialFailed, false);
+    if (pool->rests == 0 && pool->waiting.size() > pool->dialling) fail_first(*pool);
     return;
   }
   if (connection->buffer.capacity() > kKeptBuffer) connection->buffer.shrink_to_fit();
@@ -358,7 +363,7 @@
       if (pool->usable && make_room()) {
         dial(pool);
       } else {
-        finish(pool->waiting.front(), Outcome::kDialFailed, false);
+        fail_first(*pool);
         --n;
       }
     }
@@ -466,6 +471,14 @@
   rest->when_readable([&owner, alive = owner.alive_, self] {
     if (*alive && !self->ended) self->write(owner, self);
   });
+  // Danger: nothing is being written, so that a server that breaks off meanwhile is noticed only with the
+  // next piece, or after the caller's time for one.
+  if (std::exchange(watched, true)) return false;
+  connection->socket.async_wait(tcp::socket::wait_read,
+                                [&owner, alive = owner.alive_, self, held = connection](error_code) {
+                                  if (*alive && !self->ended && !self->sent)
+                                    owner.end_later(self, Outcome::kDialFailed);
+                                });
   return false;
 }
 
@@ -655,7 +668,7 @@
 }
 
 // The connection is free again before the outcome is told: what the module sends next may use it.
-void Upstream::finish(std::shared_ptr<Attempt> attempt, Outcome outcome, bool keep) {
+void Upstream::finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep) {
   if (std::exchange(attempt->ended, true)) return;
   halt(attempt->timer);
   halt(attempt->whole);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -78,10 +78,10 @@
   void forget(Pool& pool, const Connection& connection);
   void drop_idle(Pool& pool);
   bool make_room();
-  // Danger: these take an attempt out of the queue that the caller may have read it from: they hold their
-  // own.
   void end_later(std::shared_ptr<Attempt> attempt, Outcome outcome);
-  void finish(std::shared_ptr<Attempt> attempt, Outcome outcome, bool keep);
+  // Danger: it takes the attempt out of the queue, which `attempt` must not be a place in.
+  void finish(const std::shared_ptr<Attempt>& attempt, Outcome outcome, bool keep);
+  void fail_first(Pool& pool);
   static void leave_queue(const Attempt& attempt);
 
   boost::asio::io_context& io_;
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -293,6 +293,27 @@
   EXPECT_EQ(server.accepted(), 1);
 }
 
+// Guards against a server that breaks off while the client pauses, so that nothing is being written to it.
+TEST(LargeRequests, WhenAServerBreaksOffInAPauseTheClientHearsAtOnce) {
+  std::atomic<int> got = 0;
+  Gate gate;
+  Listener server([&](Wire& wire) {
+    for (std::string piece = wire.read_some(); !piece.empty(); piece = wire.read_some()) {
+      got += static_cast<int>(piece.size());
+      if (got > static_cast<int>(2 * kMega)) break;
+    }
+    gate.wait();
+    wire.reset();
+  });
+  const auto node = before(server);
+  const std::string all = Ask{.body = large(8 * kMega)}.text();
+  Wire client = Wire::to(node->port());
+  client.write(all.substr(0, 2 * kMega + 4000));
+  ASSERT_TRUE(eventually([&] { return got > static_cast<int>(2 * kMega); }));
+  gate.open();
+  EXPECT_EQ(status_of(client.read_message()), 503);
+}
+
 TEST(LargeRequests, AClientThatLeavesMidwayFreesTheServer) {
   BodyServer server;
   const auto node = before(server.listener());
