Owe a drain and the door their answers: by the classes in force, to the end of the queue

What was open at its start kept a deadline past the kill. - stop_accepting closed the listener over what waited in its queue where there was no room, and close_idle closed connections that had come up in the same turn (frontend.cpp). - accept_failed closed on the one it took in by the spare descriptor, whatever that had asked; evict closed on callers in the midst of asking without a word. - A read that completes at once is handed over a turn later: up to then evict and close_idle took the connection for idle, and its request was lost (frontend.cpp, read).

--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -107,15 +107,29 @@
 }
 
 void Dispatcher::run_clock(const std::string& id, Held& held) {
-  const double now = clock_.now(), margin = margin_of(held.time_left);
-  held.until = now + held.time_left - margin;
-  held.guard =
-      std::make_unique<asio::steady_timer>(io_, clock_.at(now + held.time_left - kGuardPart * margin));
+  end_by(id, held, std::min(clock_.now() + held.time_left, last_answer_));
+}
+
+void Dispatcher::end_by(const std::string& id, Held& held, double end) {
+  const double margin = margin_of(held.time_left);
+  held.until = end - margin;
+  held.guard = std::make_unique<asio::steady_timer>(io_, clock_.at(end - kGuardPart * margin));
   held.guard->async_wait([this, id](error_code cancelled) {
     if (!cancelled) overdue(id);
   });
 }
 
+// Danger: what was taken before may have been given longer than there is, by classes that are not in force
+// any more too, and would be open still when the process is killed. Bodies that are on their way find the
+// bound when their clock begins.
+void Dispatcher::answer_all_within(double seconds) {
+  last_answer_ = clock_.now() + seconds;
+  for (auto& [id, held] : held_) {
+    if (!held.over() && held.guard && held.until + margin_of(held.time_left) > last_answer_)
+      end_by(id, held, last_answer_);
+  }
+}
+
 void Dispatcher::complete(const std::string& id) {
   const auto at = held_.find(id);
   if (at == held_.end() || at->second.over()) return;
--- a/node/dispatcher.h
+++ b/node/dispatcher.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <random>
 #include <set>
@@ -58,6 +59,9 @@
   // Whether a request of this id is open, or has attempts out.
   bool holds(const std::string& id) const { return held_.contains(id); }
   void client_gone(const std::string& id);
+  // The process is to end: every request that is open then, or comes later, has its answer so many s from
+  // now.
+  void answer_all_within(double seconds);
   // What discovery tells, that it is there though it may have nothing to tell, and that it has stopped.
   void told(const Membership& update);
   void watch_works();
@@ -92,6 +96,7 @@
   void attempt_ended(const std::string& id, int attempt, Outcome outcome, HttpResponse&& response,
                      double elapsed);
   void run_clock(const std::string& id, Held& held);
+  void end_by(const std::string& id, Held& held, double end);
   void answer(Held& held, Answer&& answer);
   void withdraw(const std::string& id);
   void settle(const std::string& id);
@@ -122,6 +127,7 @@
   bool has_list_ = false;
   int failures_ = 0;  // of watches, since one brought anything
   std::deque<Event> events_;
+  double last_answer_ = std::numeric_limits<double>::infinity();  // of a process that is to end
   bool handling_ = false, failed_ = false, module_failed_ = false;
   double paths_since_ = 0;  // when the count of logged paths began, anew each second
   int paths_ = 0;
--- a/node/frontend.cpp
+++ b/node/frontend.cpp
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -97,7 +98,7 @@
         share_(owner.budget_) {}
 
   void start() {
-    allow(kFirstWait);
+    allow(owner_->closing_ ? kLinger : kFirstWait);
     next_request();
   }
   // Takes it off the list of those that may be closed for others.
@@ -112,14 +113,30 @@
     return !begun_ && Clock::Steady::now() - quiet_since_ >= Clock::span(seconds);
   }
   bool is_idle() const { return state_ == State::kReading && ahead_.size() == 0 && !begun_; }
+  // Whether its first request may be on its way.
+  bool is_new() const { return !proven_ && !is_quiet(kSilent); }
   bool has_unread() {
     error_code ignored;
-    return socket_.available(ignored) > 0;
+    return coming_ || socket_.available(ignored) > 0;
   }
   // What is not a request by then is none.
   void hurry() {
     if (state_ == State::kReading || state_ == State::kPausing) allow(kLinger);
   }
+  // Ends it for others' sake. Who has begun to ask is told so, as far as that goes without waiting.
+  void make_way() {
+    if (begun_) {
+      HttpResponse answer = refusal(owner_->limits_.busy_retry_after);
+      answer.keep_alive(false);
+      answer.prepare_payload();
+      std::ostringstream text;
+      text << answer;
+      const std::string bytes = std::move(text).str();
+      [[maybe_unused]] const ssize_t sent =
+          ::send(socket_.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    close();
+  }
   // Ends it without a word.
   void close() {
     if (state_ == State::kClosed) return;
@@ -155,12 +172,15 @@
 
   void timed_out() {
     if (owner_ == nullptr) return;
-    if (state_ == State::kPausing && !owner_->closing_) {
-      allow(kIdleWait);
+    // Danger: the last turn before a node closes its connections may have been read already.
+    if (state_ == State::kPausing && (!owner_->closing_ || ahead_.size() > 0)) {
+      allow(owner_->closing_ ? kLinger : kIdleWait);
       return next_request();
     }
     if (state_ == State::kReading && begun_)
       return reject({http::status::request_timeout, "request too slow"});
+    // What has come in this very instant is read next.
+    if (state_ == State::kReading && has_unread()) return allow(kLinger);
     if (state_ != State::kWaiting || upload_) close();
   }
 
@@ -209,10 +229,13 @@
   void read() {
     if (reading_ || state_ == State::kClosed) return;
     if (!may_read()) return look_after();
+    // Danger: what is there already is read at once, and handed over in a later turn of the loop. Up to then
+    // it is neither in the socket nor here, and the connection looks idle.
+    coming_ = has_unread();
     reading_ = true;
     socket_.async_read_some(asio::buffer(scratch_),
                             [self = shared_from_this()](error_code bad, std::size_t n) {
-                              self->reading_ = false;
+                              self->reading_ = self->coming_ = false;
                               self->take(bad, n);
                             });
   }
@@ -627,6 +650,7 @@
   bool turned_away_;
   State state_ = State::kReading;
   bool reading_ = false, looking_ = false;    // a read is out; a look at whether the client is there
+  bool coming_ = false;                       // that read finds something
   bool left_ = false;                         // it has closed its side
   bool proven_ = false;                       // has asked for something that can be served
   bool pause_ = false;                        // after this answer
@@ -694,6 +718,7 @@
 void Frontend::start() { accept(); }
 
 void Frontend::accept() {
+  if (stopping_) return stop_accepting();
   if (accepting_ || !acceptor_.is_open() || sessions_.size() >= limits_.most + limits_.overflow) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
@@ -706,28 +731,24 @@
 }
 
 // Guards against running out of descriptors: a listener that stays readable with nothing accepted would spin,
-// and clients in its queue would wait in vain. The spare descriptor takes one in, to be told so.
+// and clients in its queue would wait in vain. One that may be closed makes way, or else the spare descriptor
+// takes one in, to be told that there is no room: what it asks may have come already.
 void Frontend::accept_failed() {
-  evict();
-  if (spare_ >= 0) {
-    ::close(std::exchange(spare_, -1));
-    error_code bad;
-    tcp::socket socket(io_);
-    acceptor_.non_blocking(true, bad);
-    acceptor_.accept(socket, bad);
-    if (!bad) {
-      socket.close(bad);
-    }
-    spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
-  }
+  const bool has_way = evict();
+  if (!has_way && spare_ >= 0) ::close(std::exchange(spare_, -1));
+  error_code bad;
+  tcp::socket socket(io_);
+  acceptor_.non_blocking(true, bad);
+  acceptor_.accept(socket, bad);
+  if (!bad) admit(std::move(socket), !has_way);
   timer_.expires_after(Clock::span(kAcceptPause));
   timer_.async_wait([this](error_code cancelled) {
     if (!cancelled) accept();
   });
 }
 
-void Frontend::admit(tcp::socket socket) {
-  const bool full = sessions_.size() >= limits_.most && !evict();
+void Frontend::admit(tcp::socket socket, bool by_spare) {
+  const bool full = by_spare || (sessions_.size() >= limits_.most && !evict());
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   const auto session = std::make_shared<Session>(*this, std::move(socket), full);
@@ -743,7 +764,7 @@
   const auto close_one = [](const std::list<Session*>& list, double quiet) {
     for (Session* session : list) {
       if ((quiet > 0 && !session->is_quiet(quiet)) || session->has_unread()) continue;
-      session->close();
+      session->make_way();
       return true;
     }
     return false;
@@ -754,15 +775,21 @@
 
 void Frontend::ended(Session& session) {
   sessions_.erase(session.at);
+  if (spare_ < 0) spare_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
   end_if_drained();
-  accept();
+  if (!stopping_) return accept();
+  asio::post(io_, [this] { accept(); });  // this may be from within its loop
 }
 
 void Frontend::drain(std::function<void()> done) {
   if (std::exchange(draining_, true)) return;
   drained_ = std::move(done);
+  // Danger: classes that are no longer in force tell nothing of when the kill comes, and what is open of them
+  // may still take its time.
   double longest = 0;
-  for (const RequestClass& c : catalog_.classes) longest = std::max(longest, std::min(c.give_up, kMostDrain));
+  for (std::size_t i = 0; i < catalog_.in_force; ++i)
+    longest = std::max(longest, std::min(catalog_.classes[i].give_up, kMostDrain));
+  dispatcher_.answer_all_within(kMostDrain + kLastAnswer);
   last_answer_ = Clock::Steady::now() + Clock::span(longest + kLastAnswer);
   const auto after = [this](double seconds, void (Frontend::*step)()) {
     const auto timer = std::make_shared<asio::steady_timer>(io_, Clock::span(seconds));
@@ -778,17 +805,19 @@
   after(std::max(kAcceptOn, longest - kLastRequest), &Frontend::close_idle);
 }
 
+// What has come up to now is still taken in. Danger: what waits in the queue when the listener closes is
+// reset, whatever has been written to it: it closes once the queue is empty, and goes on as room comes.
 void Frontend::stop_accepting() {
-  // What has come up to now is still taken in.
+  stopping_ = true;
   error_code bad;
   acceptor_.non_blocking(true, bad);
-  while (sessions_.size() < limits_.most + limits_.overflow) {
+  while (acceptor_.is_open() && (sessions_.size() < limits_.most + limits_.overflow || evict())) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, bad);
-    if (bad) break;
-    admit(std::move(socket));
+    if (bad == asio::error::would_block) acceptor_.close(bad);
+    if (bad) return accept_failed();
+    if (socket.is_open()) admit(std::move(socket));
   }
-  acceptor_.close(bad);
   end_if_drained();
 }
 
@@ -796,7 +825,7 @@
   closing_ = true;
   std::vector<std::shared_ptr<Session>> quiet;
   for (const std::shared_ptr<Session>& session : sessions_) {
-    if (session->is_idle() && !session->has_unread()) {
+    if (session->is_idle() && !session->is_new() && !session->has_unread()) {
       quiet.push_back(session);
     } else {
       session->hurry();
--- a/node/frontend.h
+++ b/node/frontend.h
@@ -56,7 +56,7 @@
   bool is_handing_over() const { return draining_ && adopted_; }
   void accept();
   void accept_failed();
-  void admit(boost::asio::ip::tcp::socket socket);
+  void admit(boost::asio::ip::tcp::socket socket, bool by_spare = false);
   bool evict();
   void ended(Session& session);
   void stop_accepting();
@@ -77,7 +77,7 @@
   std::list<Session*> strangers_, idle_;
   int spare_ = -1;                                    // a descriptor in reserve
   std::array<char, std::size_t{16} * 1024> piece_{};  // of a body, while it is parsed
-  bool accepting_ = false, draining_ = false, closing_ = false;
+  bool accepting_ = false, draining_ = false, stopping_ = false, closing_ = false;
   bool adopted_ = false;                   // the listening socket: a successor serves on it
   Clock::Steady::time_point last_answer_;  // of a drain
   Clock::Steady::time_point late_until_;   // callers may ask by the settings before
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -206,16 +206,17 @@
   FakeDiscovery discovery;
   ConfigText config;
   config.discovery = discovery.address();
-  config.known = list(7, true, member("s0", full.address()) + "," + member("s1", other.address()));
+  config.known = list(7, true, member("s0", full.address()));
   config.bounds = R"("cancel":true,"maxAttempts":3,"dialTimeout":3.0,"idleClose":60.0)";
   Program program(config.text());
   full.fill();
   std::vector<Wire> clients;
-  while (full.dials() < 3 && clients.size() < 60) {
+  for (int i = 0; i < 3; ++i) {
     clients.push_back(Wire::to(program.port()));
-    clients.back().write(look("r" + std::to_string(clients.size())).text());
+    clients.back().write(look("r" + std::to_string(i)).text());
   }
-  ASSERT_GE(full.dials(), 2);
+  ASSERT_TRUE(eventually([&] { return full.dials() == 3; }));
+  ASSERT_TRUE(discovery.say(list(8, false, member("s1", other.address()))));
   for (Wire& client : clients) EXPECT_EQ(status_of(client.read_message()), 200);
   std::map<std::string, int> times;
   for (const std::string& request : other.requests()) times[field_of(request, "X-Request-ID")] += 1;
@@ -314,5 +315,156 @@
   EXPECT_LT(std::chrono::steady_clock::now() - start, 8s) << "three silences of an open watch take 9 s";
 }
 
+// ---------------------------------------------------------------- drains
+
+const std::string kShort = R"({"name":"close","aim":0.3,"giveUp":0.5,"effect":"unsafe","lateWorth":0.5})";
+
+void reload_as(Deployment& d, const ConfigText& config) {
+  const int before = d.program->logged("reload: ");
+  d.program->reload(config.text());
+  ASSERT_TRUE(eventually([&] { return d.program->logged("reload: ") == before + 1; })) << d.program->log();
+}
+
+// Guards against a drain that lasts by the deadlines of classes that have gone, while the kill comes by those
+// that are in force: what clients send in between would be lost.
+TEST(Drain, LastsByTheClassesInForce) {
+  FakeServer server(replies(200, "ok"));
+  Deployment d({&server});
+  Wire client = d.client();
+  client.write(Ask{}.text());
+  ASSERT_EQ(status_of(client.read_message()), 200);
+  ConfigText config = d.told;
+  config.classes = kShort;
+  reload_as(d, config);
+  const auto start = std::chrono::steady_clock::now();
+  d.program->signal(SIGTERM);
+  EXPECT_EQ(client.read_rest(), "");
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 2s)
+      << "2.8 s by the classes before, and the kill at 1.2";
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+TEST(Drain, AnOpenRequestOfADroppedClassHasItsOwnTime) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  Wire client = d.client(), idle = d.client();
+  idle.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_EQ(status_of(idle.read_message()), 200);
+  client.write(Ask{.kind = "look", .id = "open", .method = "GET", .body = ""}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  ConfigText config = d.told;
+  config.classes = kShort;
+  reload_as(d, config);
+  d.program->signal(SIGTERM);
+  EXPECT_EQ(idle.read_rest(), "") << "the drain is over for those that ask nothing";
+  gate.open();
+  EXPECT_EQ(status_of(client.read_message()), 200);
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+// Guards against requests that were open at the start of a drain and are still so when the process is killed.
+TEST(Drain, WhatWasOpenHasItsAnswerBeforeTheKill) {
+  FakeServer server([](Wire&, const std::string&) { return true; });
+  Deployment d({&server});
+  Wire client = d.client(), half = d.client();
+  client.write(Ask{}.text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  d.program->signal(SIGTERM);
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(status_of(client.read_message()), 502);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, 10s) << "the client would have waited 15 s";
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+// Guards against the close of a listener whose queue holds what there was no room for: all of it is reset.
+TEST(Drain, WhatWaitsToBeLetInIsAnswered) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  ConfigText config;
+  config.sockets = 64;  // 20 connections of callers, and 5 to be turned away
+  Deployment d({&server}, config);
+  std::vector<Wire> clients;
+  for (int i = 0; i < 40; ++i) {
+    clients.push_back(d.client());
+    clients.back().write(look("r" + std::to_string(i)).text());
+  }
+  ASSERT_TRUE(eventually([&] { return !server.requests().empty(); }));
+  d.program->signal(SIGTERM);
+  std::this_thread::sleep_for(1s);  // past the time in which new connections are let in
+  gate.open();
+  for (std::size_t i = 0; i < clients.size(); ++i) EXPECT_NE(status_of(clients[i].read_message()), 0) << i;
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+// A connection that came up just before the listener closed, and whose first request is on its way.
+TEST(Drain, ANewConnectionIsNotClosedBeforeItsFirstRequest) {
+  FakeServer server(replies(200, "ok"));
+  ConfigText config;
+  config.classes = kShort;  // the listener and the idle connections are closed in one turn of the loop
+  Deployment d({&server}, config);
+  d.program->signal(SIGTERM);
+  std::vector<Wire> clients;
+  for (Wire next = d.client(); next.is_open(); next = d.client()) {
+    clients.push_back(std::move(next));
+    if (clients.size() > 20) clients.erase(clients.begin());  // each is newer than the one before
+    std::this_thread::sleep_for(5ms);
+  }
+  ASSERT_FALSE(clients.empty());
+  clients.back().write(Ask{.timeout = "400"}.text());
+  EXPECT_NE(status_of(clients.back().read_message()), 0);
+  EXPECT_EQ(d.program->exit_status(), 0);
+}
+
+// ---------------------------------------------------------------- the door
+
+TEST(Door, WhoComesWhenDescriptorsRunOutIsAnswered) {
+  Gate gate;
+  FakeServer server([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(200, "ok"));
+  });
+  Deployment d({&server});
+  Wire busy = d.client();
+  busy.write(look("busy").text());
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  d.program->leave_no_descriptors();
+  for (int i = 0; i < 3; ++i) {
+    Wire client = d.client();
+    client.write(look("r" + std::to_string(i)).text());
+    EXPECT_EQ(status_of(client.read_message()), 503);
+  }
+  gate.open();
+  EXPECT_EQ(status_of(busy.read_message()), 200);
+}
+
+TEST(Door, WhoMakesWayInTheMidstOfAskingIsTold) {
+  FakeServer server(replies(200, "ok"));
+  ConfigText config;
+  config.sockets = 64;  // 20 connections of callers
+  Deployment d({&server}, config);
+  std::vector<Wire> slow;
+  for (int i = 0; i < 20; ++i) {
+    slow.push_back(d.client());
+    slow.back().write("GET /look/k1 HTTP/1.1\r\n");
+  }
+  // All of them have been read from once a later one, which one of them makes way for, is served.
+  int n = 0;
+  ASSERT_TRUE(eventually([&] {
+    Wire late = d.client();
+    late.write(look("late" + std::to_string(++n)).text());
+    return status_of(late.read_message()) == 200;
+  }));
+  const std::string answer = slow.front().read_message();
+  EXPECT_EQ(status_of(answer), 503);
+  EXPECT_EQ(field_of(answer, "Connection"), "close");
+}
+
 }  // namespace
 }  // namespace thymewood::node
