Send no repeat of a keyed request that has waited past its window

Read in the code: in_scope looks at the window when a further attempt is decided on; the attempt may then wait for a dial for up to dialTimeout and be written when repeats are dropped no longer. Repeats.OneThatWaitsPastItsWindowIsNotSent fails without it.

--- a/include/thymewood/balancer.h
+++ b/include/thymewood/balancer.h
@@ -175,6 +175,9 @@
   std::string id;
   std::string server;
   double timeout = 0;
+  // Its last byte has to be out within this time, or it is not sent at all: repeats of it are dropped no
+  // longer.
+  std::optional<double> send_within = {};
 };
 
 // Final answer: turned away; trying again is harmless.
--- a/node/dispatcher.cpp
+++ b/node/dispatcher.cpp
@@ -360,7 +360,7 @@
   held.open.push_back(true);
   held.servers.push_back(action.server);
   held.attempts.push_back(upstream_.start(
-      action.server, held.message, timeout,
+      action.server, held.message, timeout, action.send_within,
       {[this, id = action.id, attempt](HttpResponse&& head, std::shared_ptr<Pipe> body, double elapsed) {
          answer_begins(id, attempt, std::move(head), std::move(body), elapsed);
        },
--- a/node/upstream.cpp
+++ b/node/upstream.cpp
@@ -119,6 +119,7 @@
   double timeout = 0;
   Clock::Steady::time_point begun = Clock::Steady::now();  // when it was sent, or is taken to be
   Clock::Steady::time_point until, first_byte;
+  Clock::Steady::time_point send_until = Clock::Steady::time_point::max();
   std::string wire;                              // the request as it is sent; empty again once it is out
   std::shared_ptr<const std::string> start_out;  // what follows it, where that is too large to have twice
   bool head_out = false;                         // the wire is out, and this is being sent
@@ -190,7 +191,7 @@
 }
 
 Upstream::Handle Upstream::start(const std::string& server, const std::shared_ptr<const Outgoing>& request,
-                                 double timeout, Report report) {
+                                 double timeout, std::optional<double> send_within, Report report) {
   const auto attempt = std::make_shared<Attempt>(io_, budget_, std::move(report));
   const auto at = pools_.find(server);
   if (at == pools_.end() || !(timeout > 0) || !request->is_complete()) {
@@ -202,6 +203,7 @@
   attempt->rest = request->rest;
   attempt->streamed = request->rest != nullptr;
   attempt->timeout = timeout;
+  if (send_within) attempt->send_until = Clock::Steady::now() + Clock::span(*send_within);
   attempt->end_by(*this, attempt);
   if (std::shared_ptr<Connection> connection = take_idle(*attempt->pool)) {
     attempt->begin(*this, attempt, std::move(connection));
@@ -500,7 +502,8 @@
       if (!next_of_rest(owner, self)) return;
       continue;
     }
-    if (is_readable(connection->socket)) return owner.end_later(self, Outcome::kDialFailed);
+    if (is_readable(connection->socket) || Clock::Steady::now() > send_until)
+      return owner.end_later(self, Outcome::kDialFailed);
     const ssize_t n = ::send(connection->socket.native_handle(), now.data() + written, now.size() - written,
                              MSG_DONTWAIT | MSG_NOSIGNAL);
     if (n > 0) {
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "budget.h"
@@ -54,9 +55,10 @@
   // It has left the list: attempts that are out go on, nothing new is to come.
   void retire(const std::string& server);
 
-  // Sends a request, once, and reports exactly once, never from within this call.
+  // Sends a request, once, and reports exactly once, never from within this call. Where its last byte is not
+  // out within `send_within`, if that is told, it is not sent.
   Handle start(const std::string& server, const std::shared_ptr<const Outgoing>& request, double timeout,
-               Report report);
+               std::optional<double> send_within, Report report);
   // Closes the attempt's connection; it is reported as kCancelled, unless its end is on its way already.
   void cancel(const Handle& attempt);
   // The same, but only where its last byte is not written yet: nobody waits for what it would bring about.
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -459,6 +459,16 @@
     return true;
   }
 
+  // How long a further attempt of a keyed request may take to go out. Danger: one that waits for a connection
+  // would be sent past the window that held when it was decided on.
+  std::optional<double> send_within(const Pending& p) const {
+    if (p.rules->told.effect != Effect::kKeyed || !p.may_have_run()) return std::nullopt;
+    double out = kForever;
+    for (const Attempt& a : p.attempts)
+      if (a.may_have_run) out = std::min(out, a.sent + p.rules->told.dedup_window - now_);
+    return out;
+  }
+
   // Gathers the servers of `from` that may be used; returns whether there are any. Past the first tier room
   // is a wish: a refusal there wastes what was done above.
   bool gather(const std::vector<std::size_t>& from, const Pending& p, bool healthy, bool untried, bool room) {
@@ -525,6 +535,7 @@
     const std::optional<std::size_t> server = limit > 0 ? pick(p) : std::nullopt;
     if (!server) return false;
     ServerNode& s = servers_[*server];
+    const std::optional<double> within = send_within(p);
     retry_tokens_ = std::min(kRetryBurst, retry_tokens_ + (p.attempts.empty() ? kRetryShare : -1));
     if (warmth(s) < 1) s.cold_tokens -= 1;
     s.named += 1;
@@ -532,7 +543,7 @@
     // Danger: a body may take seconds to come, or an answer to go. Taken for work the server has in hand, a
     // few of them would take up what the tier may hold, and all others be refused.
     if (!p.coming) count(p.attempts.back());
-    out_->push_back(Send{id, s.told.address, limit});
+    out_->push_back(Send{id, s.told.address, limit, within});
     return true;
   }
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -224,6 +224,40 @@
   for (const auto& [id, n] : times) EXPECT_EQ(n, 1) << id;
 }
 
+// Guards against a repeat that was decided on in time and goes out past the window in which it is dropped.
+TEST(Repeats, OneThatWaitsPastItsWindowIsNotSent) {
+  Gate gate;
+  FakeServer failing([&](Wire& wire, const std::string&) {
+    gate.wait();
+    return wire.write(http_answer(500, "it may have run"));
+  });
+  FullListener other;
+  FakeDiscovery discovery;
+  ConfigText config;
+  config.discovery = discovery.address();
+  config.ops = "127.0.0.1:0";
+  config.known = list(7, true, member("s0", failing.address()));
+  config.bounds = R"("cancel":true,"maxAttempts":3,"dialTimeout":14.0,"idleClose":60.0)";
+  config.classes +=
+      R"(,{"name":"pin","aim":15.0,"giveUp":15.0,"effect":"keyed","group":"all","dedupWindow":2.0,"lateWorth":0.5})";
+  Program program(config.text());
+  Wire client = Wire::to(program.port());
+  client.write(Ask{.kind = "pin", .id = "pinned", .key = "k"}.text());
+  ASSERT_TRUE(eventually([&] { return failing.requests().size() == 1; }));
+  other.fill();
+  ASSERT_TRUE(discovery.say(
+      list(8, false, member("s0", failing.address(), "draining") + "," + member("s1", other.address()))));
+  ASSERT_TRUE(
+      eventually([&] { return program.call("STATS").find(R"("hosts_listed":2,)") != std::string::npos; }));
+  gate.open();
+  ASSERT_TRUE(eventually([&] { return other.dials() == 1; }));
+  std::this_thread::sleep_for(2500ms);  // past the window
+  Wire server(other.accept());
+  const std::string answer = client.read_message();
+  EXPECT_EQ(status_of(answer), 503) << "every server drops repeats of it, so that to refuse it is harmless";
+  EXPECT_EQ(server.read_rest(), "");
+}
+
 // ---------------------------------------------------------------- watches
 
 const std::string kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
