--- a/regress.sh
+++ b/regress.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Plays panels of the operators' benches, one after the other, and tells whether one did badly:
-#   ./regress.sh PANEL [OPTION ...]     PANEL: ops, later, real, mass, module, or all; options go to the bench
-# The kit lies beside the repository, or where KIT says.
+#   ./regress.sh PANEL [OPTION ...]     PANEL: ops, later, real, mass, brink, module, or all; options go to the bench
+# The kit lies beside the repository, or where KIT says; SITE names another site file than akl-build's.
 set -uo pipefail
 cd "$(dirname "$0")"
 kit=${KIT:-../given/kit}
-site=$kit/sites/akl-build.toml
+site=${SITE:-$kit/sites/akl-build.toml}
 usage() { sed -n '3s/^# *//p' "$0" >&2; }
 
 play() {  # PANEL BENCH OPTION ...
@@ -32,6 +32,7 @@
     ops) play ops more/ops/bin/lbreal "$@" ;;
     later) play later more/ops/bin/lbreal --panel later "$@" ;;
     real) play real real/bin/lbreal "$@" ;;
+    brink) play brink more/mass/bin/lbreal --panel brink "$@" ;;
     mass) play mass more/mass/bin/lbreal "$@" ;;
     module) play module bin/lbsim "$@" ;;
     *) echo "regress: unknown panel '$name'" >&2; usage; return 2 ;;
@@ -39,8 +40,9 @@
 }
 
 [ $# -gt 0 ] || { usage; exit 2; }
-[ -f "$site" ] || { echo "regress: no kit at $kit" >&2; exit 2; }
+[ -d "$kit" ] || { echo "regress: no kit at $kit" >&2; exit 2; }
+[ -f "$site" ] || { echo "regress: no site at $site" >&2; exit 2; }
 name=$1
 shift
-[ "$name" != all ] || { bad=0; for each in ops later real mass module; do panel "$each" "$@" || bad=1; done; exit "$bad"; }
+[ "$name" != all ] || { bad=0; for each in ops later real mass brink module; do panel "$each" "$@" || bad=1; done; exit "$bad"; }
 panel "$name" "$@"
--- a/tests/checks.sh
+++ b/tests/checks.sh
@@ -83,6 +83,12 @@
     bench() { printf '#!/bin/sh\n%s\n' "$1" >"$scratch/bin/lbsim" && chmod +x "$scratch/bin/lbsim"; }
     bench 'echo "day  score 0.97 $*"'
     KIT=$scratch ./regress.sh module --quick | grep 'score .*akl-build.toml --quick'
+    mkdir -p "$scratch/more/mass/bin"
+    cp "$scratch/bin/lbsim" "$scratch/more/mass/bin/lbreal"
+    touch "$scratch/sites/other.toml"
+    KIT=$scratch SITE=$scratch/sites/other.toml ./regress.sh brink --seed 3 | grep 'score .*other.toml --panel brink --seed 3'
+    if KIT=$scratch SITE=$scratch/sites/none.toml ./regress.sh brink >"$scratch/out" 2>&1; then exit 1; fi
+    grep 'no site' "$scratch/out"
     bench 'echo "day  score 0.00  BROKEN: drain"'
     fails module
     bench 'echo "GATE failed"'
