--- a/node/dispatch/dispatcher.cpp
+++ b/node/dispatch/dispatcher.cpp
@@ -158,7 +158,7 @@
   if (request == nullptr) return;
   request->abandon(clock_.now());
   decision_loop_.enqueue_event(RequestCancelled{id});
-  if (const InFlightRequest* cancelled = find(id)) withdraw_unsent_attempts(*cancelled);
+  if (const InFlightRequest* cancelled = find(id)) withdraw_undelivered_attempts(*cancelled);
   erase_if_settled(id);
 }
 
@@ -170,16 +170,16 @@
   if (request == nullptr) return;
   request->answer({FinalAnswer::Kind::kFailed, 0, {}, nullptr}, clock_.now());
   decision_loop_.enqueue_event(RequestCancelled{id});
-  if (const InFlightRequest* cancelled = find(id)) withdraw_unsent_attempts(*cancelled);
+  if (const InFlightRequest* cancelled = find(id)) withdraw_undelivered_attempts(*cancelled);
   erase_if_settled(id);
 }
 
-// Cancels the attempts that have not been sent completely. Without this, a server would process a request
-// that no client waits for, once the connection is established or the server reads the rest of the request.
-// Settings that forbid cancelling attempts apply only to attempts that have been sent.
-void Dispatcher::withdraw_unsent_attempts(const InFlightRequest& request) {
+// Cancels the attempts whose server has not received the whole request. Without this, a server would process
+// a request that no client waits for, once the connection is established or the server reads the rest of the
+// request. Settings that forbid cancelling attempts apply only to requests that a server has received.
+void Dispatcher::withdraw_undelivered_attempts(const InFlightRequest& request) {
   for (const InFlightRequest::Attempt& attempt : request.attempts()) {
-    upstream_.cancel_unsent(attempt.handle);
+    upstream_.cancel_undelivered(attempt.handle);
   }
 }
 
--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -81,7 +81,7 @@
   void set_deadline(const std::string& id, InFlightRequest& request, double client_deadline);
   void on_fallback_timer(const std::string& id);
   void answer_and_settle(const std::string& id, FinalAnswer&& answer);
-  void withdraw_unsent_attempts(const InFlightRequest& request);
+  void withdraw_undelivered_attempts(const InFlightRequest& request);
   void erase_if_settled(const std::string& id);
 
   AttemptCallbacks callbacks_of(const std::string& id, std::size_t attempt);
--- a/node/http/socket_helpers.h
+++ b/node/http/socket_helpers.h
@@ -3,6 +3,8 @@
 /// through `errno`, as the system calls do.
 #pragma once
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 
@@ -23,6 +25,21 @@
   return received >= 0 || !would_block();
 }
 
+/// Whether the peer's system has not acknowledged all bytes that were written to the socket. It may lack some
+/// of them, which the operating system goes on sending. Also true if the operating system can't tell.
+[[nodiscard]] inline bool has_unacknowledged_bytes(boost::asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes > 0;
+}
+
+/// Sets whether the end of the socket, also by the end of the process, discards the bytes that it has not
+/// sent yet and resets the connection. Otherwise the operating system sends them after the close. This is no
+/// Boost.Asio option, because the destructor of a Boost.Asio socket withdraws that.
+inline void set_reset_on_close(boost::asio::ip::tcp::socket& socket, bool enabled) {
+  const linger option{enabled ? 1 : 0, 0};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 /// Writes as many bytes as the socket accepts at once. Raises no SIGPIPE.
 /// @return the number of bytes written, or a negative number with `errno` set
 [[nodiscard]] inline ssize_t send_without_waiting(boost::asio::ip::tcp::socket& socket, const char* bytes,
--- a/node/upstream/request_writer.cpp
+++ b/node/upstream/request_writer.cpp
@@ -36,7 +36,8 @@
   is_streamed_ = remaining_body_ != nullptr;
 }
 
-void RequestWriter::set_time_limits(Clock::Steady::time_point deadline, Clock::Steady::time_point send_by) {
+void RequestWriter::set_time_limits(Clock::Steady::time_point deadline,
+                                    std::optional<Clock::Steady::time_point> send_by) {
   deadline_ = deadline;
   send_by_ = send_by;
 }
@@ -77,7 +78,7 @@
       }
       continue;
     }
-    if (is_readable(socket) || Clock::Steady::now() > send_by_) return Progress::kFailed;
+    if (is_readable(socket) || is_too_late()) return Progress::kFailed;
     const ssize_t sent = send_without_waiting(socket, part.data() + written_, part.size() - written_);
     if (sent > 0) {
       written_ += static_cast<std::size_t>(sent);
@@ -90,6 +91,8 @@
   return Progress::kComplete;
 }
 
+bool RequestWriter::is_too_late() const { return send_by_ && Clock::Steady::now() > *send_by_; }
+
 // Called when the head is written, and again when `initial_body_` is written.
 void RequestWriter::finish_part() {
   written_ = 0;
--- a/node/upstream/request_writer.h
+++ b/node/upstream/request_writer.h
@@ -33,7 +33,8 @@
   void assign(std::shared_ptr<const OutgoingRequest> request);
   /// @param deadline serialize() sends the time until then to the server, as X-Timeout-Ms
   /// @param send_by no byte is written after this time
-  void set_time_limits(Clock::Steady::time_point deadline, Clock::Steady::time_point send_by);
+  void set_time_limits(Clock::Steady::time_point deadline, std::optional<Clock::Steady::time_point> send_by);
+  std::optional<Clock::Steady::time_point> send_by() const { return send_by_; }
   /// Whether the client has closed its connection (see OutgoingRequest::is_abandoned). Only valid before
   /// serialize().
   bool is_abandoned() const { return request_->is_abandoned && request_->is_abandoned(); }
@@ -56,13 +57,14 @@
   bool has_remaining_body() const { return remaining_body_ != nullptr; }
 
  private:
+  bool is_too_late() const;
   void finish_part();
   [[nodiscard]] bool load_next_piece();
 
   MemoryBudget::Reservation& reservation_;
   std::shared_ptr<const OutgoingRequest> request_;
   Clock::Steady::time_point deadline_;
-  Clock::Steady::time_point send_by_ = Clock::Steady::time_point::max();
+  std::optional<Clock::Steady::time_point> send_by_;
   std::string wire_bytes_;  // the head, then one piece of the body at a time
   // Sent after the head if it is too large to copy into `wire_bytes_`; null otherwise.
   std::shared_ptr<const std::string> initial_body_;
--- a/node/upstream/server_connection.cpp
+++ b/node/upstream/server_connection.cpp
@@ -40,9 +40,11 @@
   return true;
 }
 
-void ServerConnection::disable_nagle() {
+// If the process ends, by SIGKILL too, the operating system must not complete the requests in flight.
+void ServerConnection::set_socket_options() {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  set_reset_on_close(socket_, true);
 }
 
 void ServerConnection::start_idling(Clock::Steady::time_point reusable_at, double idle_timeout) {
@@ -69,9 +71,12 @@
   socket_.cancel(ignored);  // ends the wait for input or a close
 }
 
+// After an orderly close the operating system would send the rest of a request as soon as a hung server reads
+// again, and the server would process a request that the node gave up long before.
 void ServerConnection::close() {
   state_ = State::kClosed;
   cancel_timer(timer_);
+  if (!has_unacknowledged_request()) set_reset_on_close(socket_, false);
   error_code ignored;
   socket_.close(ignored);
 }
@@ -81,6 +86,8 @@
   return timer_.expiry() > now && !is_readable(socket_);
 }
 
+bool ServerConnection::has_unacknowledged_request() { return has_unacknowledged_bytes(socket_); }
+
 bool ServerConnection::has_unexpected_input() { return buffer_.size() > 0 || is_readable(socket_); }
 
 void ServerConnection::trim_buffer() {
--- a/node/upstream/server_connection.h
+++ b/node/upstream/server_connection.h
@@ -30,7 +30,8 @@
   [[nodiscard]] bool finish_connecting();
   /// Records which process of the server the connection leads to.
   void set_incarnation(std::uint64_t incarnation) { incarnation_ = incarnation; }
-  void disable_nagle();
+  /// Call when the connection is established, before it carries a request.
+  void set_socket_options();
 
   /// Marks the connection as idle. The pool drops it when the server closes it or sends bytes, and in any
   /// case before the server's idle timeout.
@@ -39,7 +40,11 @@
   void start_idling(Clock::Steady::time_point reusable_at, double idle_timeout);
   /// Marks the connection as used by an attempt.
   void stop_idling();
+  /// Closes the connection. Resets it if the server's system has not acknowledged all of the last request, so
+  /// that the server never gets the rest.
   void close();
+  /// Whether the server's system has not acknowledged all bytes that were written. It may lack some of them.
+  [[nodiscard]] bool has_unacknowledged_request();
 
   bool is_idle() const { return state_ == State::kIdle; }
   bool is_in_quarantine(Clock::Steady::time_point now) const { return reusable_at_ > now; }
--- a/node/upstream/server_pool.cpp
+++ b/node/upstream/server_pool.cpp
@@ -83,7 +83,7 @@
     // If a new server process was advertised during the connect, the new process has accepted the connection,
     // unless the endpoint has changed.
     if (connection->endpoint() == endpoint_) connection->set_incarnation(incarnation_);
-    connection->disable_nagle();
+    connection->set_socket_options();
     return add_idle(connection, Origin::kNewlyConnected);
   }
   drop(connection);
--- a/node/upstream/upstream_attempt.cpp
+++ b/node/upstream/upstream_attempt.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "upstream/server_connection.h"
@@ -24,6 +25,10 @@
 // Time limit for a server that sends no byte of a large response or reads no byte of a large request.
 constexpr std::chrono::seconds kPeerSilenceTimeout{3};
 
+// How long the acknowledgement of a received request may take. The rules on sockets allow 50 ms, and systems
+// hold back an acknowledgement for up to 40 ms.
+constexpr std::chrono::milliseconds kMaxAcknowledgementDelay{45};
+
 double to_seconds(Clock::Steady::duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -35,6 +40,7 @@
       callbacks_(std::move(callbacks)),
       timeout_timer_(context_->io),
       progress_timer_(context_->io),
+      delivery_timer_(context_->io),
       reservation_(context_->budget) {}
 
 void UpstreamAttempt::assign(std::shared_ptr<ServerPool> pool,
@@ -47,8 +53,9 @@
   const Clock::Steady::time_point now = Clock::Steady::now();
   const Clock::Steady::time_point deadline =
       now + Clock::to_duration(std::max(limits.timeout, limits.deadline));
-  writer_.set_time_limits(deadline, limits.send_within ? now + Clock::to_duration(*limits.send_within)
-                                                       : Clock::Steady::time_point::max());
+  std::optional<Clock::Steady::time_point> send_by;
+  if (limits.send_within) send_by = now + Clock::to_duration(*limits.send_within);
+  writer_.set_time_limits(deadline, send_by);
   start_timeout();
   pool_->start(shared_from_this());
 }
@@ -89,6 +96,21 @@
   });
 }
 
+void UpstreamAttempt::cancel_undelivered() {
+  if (!is_sent()) return finish_later(Outcome::kCancelled);
+  finish_if_undelivered_at(Clock::Steady::now(), Outcome::kCancelled);
+}
+
+// A written request may still be in the memory of the node's system, because the server hangs or can't be
+// reached.
+void UpstreamAttempt::finish_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome) {
+  delivery_timer_.expires_at(time + kMaxAcknowledgementDelay);
+  delivery_timer_.async_wait([self = shared_from_this(), outcome](error_code cancelled) {
+    if (cancelled || self->is_finished() || self->state_ != State::kAwaitingResponse) return;
+    if (self->connection_->has_unacknowledged_request()) self->finish(outcome, ConnectionReuse::kClose);
+  });
+}
+
 // ---------------------------------------------------------------- the request
 
 void UpstreamAttempt::write() {
@@ -146,6 +168,7 @@
     start_timeout();
   }
   writer_.release_memory();
+  if (const auto send_by = writer_.send_by()) finish_if_undelivered_at(*send_by, Outcome::kTimedOut);
   read_response();
 }
 
@@ -276,6 +299,7 @@
   if (std::exchange(state_, State::kEnded) == State::kEnded) return;
   cancel_timer(timeout_timer_);
   cancel_timer(progress_timer_);
+  cancel_timer(delivery_timer_);
   if (pool_) pool_->leave_queue(*this);
   if (const std::shared_ptr<ServerConnection> connection = std::exchange(connection_, nullptr)) {
     if (reuse == ConnectionReuse::kKeep) {
--- a/node/upstream/upstream_attempt.h
+++ b/node/upstream/upstream_attempt.h
@@ -40,6 +40,9 @@
   /// Ends the attempt in a later handler of the event loop. The attempt leaves the pool's queue at once, and
   /// no more of the request is written.
   void finish_later(Outcome outcome);
+  /// Cancels the attempt unless the server has received the whole request. If the request is written but not
+  /// acknowledged, the decision is made after kMaxAcknowledgementDelay.
+  void cancel_undelivered();
   /// Ends the attempt and reports the outcome. Must not be called inside the call that starts the attempt.
   void finish(Outcome outcome, ConnectionReuse reuse);
 
@@ -58,6 +61,7 @@
   bool is_finished() const { return has_ended() || context_->is_closed; }
 
   void start_timeout();
+  void finish_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome);
   void start_silence_timer(Outcome outcome);
   void write();
   void wait_for_body();
@@ -85,9 +89,10 @@
   // streaming.
   boost::asio::steady_timer progress_timer_;
   State state_ = State::kSending;
-  bool is_finish_scheduled_ = false;      // finish_later() was called: no more of the request is written
-  bool is_watching_early_close_ = false;  // for a server that closes before it has the complete request
-  double timeout_ = 0;                    // s
+  boost::asio::steady_timer delivery_timer_;  // for the acknowledgement of the request
+  bool is_finish_scheduled_ = false;          // finish_later() was called: no more of the request is written
+  bool is_watching_early_close_ = false;      // for a server that closes before it has the complete request
+  double timeout_ = 0;                        // s
   // The start of the attempt; for a streamed request, the time when its last byte was written.
   Clock::Steady::time_point sent_at_ = Clock::Steady::now();
   Clock::Steady::time_point first_byte_at_;
--- a/node/upstream/upstream_client.cpp
+++ b/node/upstream/upstream_client.cpp
@@ -58,9 +58,9 @@
   if (attempt && !attempt->has_ended()) attempt->finish_later(Outcome::kCancelled);
 }
 
-void UpstreamClient::cancel_unsent(const AttemptHandle& handle) {
+void UpstreamClient::cancel_undelivered(const AttemptHandle& handle) {
   const std::shared_ptr<UpstreamAttempt> attempt = handle.lock();
-  if (attempt && !attempt->is_sent()) attempt->finish_later(Outcome::kCancelled);
+  if (attempt && !attempt->has_ended()) attempt->cancel_undelivered();
 }
 
 // At the limit, closes the connection that has been idle the longest over all pools.
--- a/node/upstream/upstream_client.h
+++ b/node/upstream/upstream_client.h
@@ -52,8 +52,9 @@
   /// Ends an attempt and closes its connection. The outcome is Outcome::kCancelled, unless another outcome is
   /// already about to be reported.
   void cancel(const AttemptHandle& handle);
-  /// Cancels an attempt whose result no client waits for, unless the last byte of its request is written.
-  void cancel_unsent(const AttemptHandle& handle);
+  /// Cancels an attempt whose result no client waits for, unless its server has received the whole request
+  /// (see UpstreamAttempt::cancel_undelivered).
+  void cancel_undelivered(const AttemptHandle& handle);
 
   /// Open connections to servers, and those being connected.
   std::size_t connections() const { return context_->connections; }
--- a/tests/node/harness/full_listener.cpp
+++ b/tests/node/harness/full_listener.cpp
@@ -15,6 +15,10 @@
   EXPECT_GT(port_, 0) << "can't listen on a port of the loopback interface";
 }
 
+void FullListener::set_receive_buffer(int bytes) const {
+  ASSERT_EQ(::setsockopt(listener_.get(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes), 0);
+}
+
 void FullListener::fill_queue() {
   filler_ = new_tcp_socket();
   ASSERT_TRUE(connect_to_loopback(filler_, port_));
--- a/tests/node/harness/full_listener.h
+++ b/tests/node/harness/full_listener.h
@@ -17,6 +17,9 @@
   FullListener();
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
+  /// Sets the size of the receive buffers of connections that arrive later.
+  /// @param bytes the size; the system may round it up
+  void set_receive_buffer(int bytes) const;
   /// Opens a connection that takes the only place in the queue.
   void fill_queue();
   /// Whether a connection is waiting to be accepted.
--- a/tests/node/harness/held_server_deployment.h
+++ b/tests/node/harness/held_server_deployment.h
@@ -14,11 +14,11 @@
 struct HeldServerDeployment {
   /// @param can_cancel  whether attempts in flight may be cancelled; an attempt without a connection can be
   ///                    cancelled in either case
-  explicit HeldServerDeployment(bool can_cancel = false) {
+  explicit HeldServerDeployment(bool can_cancel = false, const StartOptions& options = {}) {
     NodeConfig config = config_with_server(server.address(), discovery.address());
     config.admin = "127.0.0.1:0";
     config.bounds = bounds_with_slow_connects(can_cancel ? "true" : "false");
-    program = std::make_unique<NodeProcess>(config.text());
+    program = std::make_unique<NodeProcess>(config.text(), options);
   }
   Connection client() const { return Connection::to(program->port()); }
 
