--- a/node/dispatch/dispatcher.cpp
+++ b/node/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace nettleyoke::node {
 namespace {
@@ -32,6 +33,7 @@
       upstream_(upstream),
       start_watch_(std::move(start_watch)),
       rewatch_timer_(io),
+      answers_due_timer_(io),
       request_log_(std::clog) {}
 
 void Dispatcher::start(const EndpointList& initial_endpoint_list) {
@@ -136,13 +138,30 @@
   request.set_deadline(client_deadline, std::move(timer));
 }
 
-// Requests accepted earlier, also those of request classes that are no longer in force, may have a later
-// deadline and would still be open when the process is killed. For a request whose body is still arriving,
-// start_deadline() applies the limit.
-void Dispatcher::answer_all_within(double seconds) {
-  answers_due_at_ = clock_.now() + seconds;
+// Requests that were received earlier, also those of request classes that are no longer in force, may have a
+// later deadline and would still be open when the process is killed. A request whose body is still arriving
+// gets its deadline from start_deadline().
+void Dispatcher::answer_all_within(const ShutdownLimits& limits) {
+  answers_due_at_ = clock_.now() + limits.arriving;
+  const double received_due_at = clock_.now() + limits.received;
   for (auto& [id, request] : in_flight_requests_) {
-    if (request.has_deadline_after(answers_due_at_)) set_deadline(id, request, answers_due_at_);
+    if (request.has_deadline_after(received_due_at)) set_deadline(id, request, received_due_at);
+  }
+  answers_due_timer_.expires_at(clock_.to_time_point(answers_due_at_));
+  answers_due_timer_.async_wait([this](error_code cancelled) {
+    if (!cancelled) reject_incomplete_requests();
+  });
+}
+
+// The last byte of a body may arrive at any moment, and may have arrived already where a slow server keeps
+// the node from reading it. No server has received such a request, so that rejecting it is harmless.
+void Dispatcher::reject_incomplete_requests() {
+  std::vector<std::string> ids;
+  for (const auto& [id, request] : in_flight_requests_) {
+    if (!request.is_completed() && !request.has_deadline()) ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    answer_and_cancel(id, {FinalAnswer::Kind::kRejected, overflow_retry_after_, {}, nullptr});
   }
 }
 
@@ -157,18 +176,25 @@
   InFlightRequest* const request = find_unanswered(id);
   if (request == nullptr) return;
   request->abandon(clock_.now());
-  decision_loop_.enqueue_event(RequestCancelled{id});
-  if (const InFlightRequest* cancelled = find(id)) withdraw_undelivered_attempts(*cancelled);
-  erase_if_settled(id);
+  cancel_request(id);
 }
 
 // Gives the final answer if the decision library has failed or keeps the request for too long, or if other
 // timers fire late. The decision library cancels the attempts that it may cancel; other attempts end by their
 // own timeout, which is earlier than this timer.
 void Dispatcher::on_fallback_timer(const std::string& id) {
+  answer_and_cancel(id, {FinalAnswer::Kind::kFailed, 0, {}, nullptr});
+}
+
+void Dispatcher::answer_and_cancel(const std::string& id, FinalAnswer&& answer) {
   InFlightRequest* const request = find_unanswered(id);
   if (request == nullptr) return;
-  request->answer({FinalAnswer::Kind::kFailed, 0, {}, nullptr}, clock_.now());
+  request->answer(std::move(answer), clock_.now());
+  cancel_request(id);
+}
+
+// Ends the attempts of a completed request, as far as that is possible.
+void Dispatcher::cancel_request(const std::string& id) {
   decision_loop_.enqueue_event(RequestCancelled{id});
   if (const InFlightRequest* cancelled = find(id)) withdraw_undelivered_attempts(*cancelled);
   erase_if_settled(id);
--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -29,6 +29,13 @@
 
 namespace nettleyoke::node {
 
+/// How long requests may take once the process is to end, in seconds from then.
+struct ShutdownLimits {
+  double received = 0;  ///< for requests that were received before
+  double arriving =
+      0;  ///< for requests whose last byte arrives later; rejects those that are incomplete then
+};
+
 class Dispatcher : private ActionExecutor, private MembershipTracker::Observer {
  public:
   /// @param max_open_requests the most requests in flight; further requests are rejected
@@ -60,9 +67,8 @@
   bool is_open(const std::string& id) const { return in_flight_requests_.contains(id); }
   void on_client_disconnected(const std::string& id);
   /// Called when the process is to end: every open request and every request accepted later gets its final
-  /// answer within this time.
-  /// @param seconds from now
-  void answer_all_within(double seconds);
+  /// answer within these limits.
+  void answer_all_within(const ShutdownLimits& limits);
   /// Discovery has sent a complete endpoint list or changes to it.
   void on_endpoint_list(const EndpointList& update);
   /// A watch has received its first data, which may be an empty line.
@@ -80,6 +86,9 @@
   void start_deadline(const std::string& id, InFlightRequest& request);
   void set_deadline(const std::string& id, InFlightRequest& request, double client_deadline);
   void on_fallback_timer(const std::string& id);
+  void answer_and_cancel(const std::string& id, FinalAnswer&& answer);
+  void cancel_request(const std::string& id);
+  void reject_incomplete_requests();
   void answer_and_settle(const std::string& id, FinalAnswer&& answer);
   void withdraw_undelivered_attempts(const InFlightRequest& request);
   void erase_if_settled(const std::string& id);
@@ -114,7 +123,8 @@
   MembershipTracker membership_;
   bool has_received_endpoint_list_ = false;
   boost::asio::steady_timer rewatch_timer_;
-  double answers_due_at_ = std::numeric_limits<double>::infinity();  // set by answer_all_within()
+  double answers_due_at_ = std::numeric_limits<double>::infinity();  // ShutdownLimits::arriving
+  boost::asio::steady_timer answers_due_timer_;
   bool has_logged_execution_failure_ = false;
   bool has_logged_decision_failure_ = false;
   RequestLog request_log_;
--- a/node/dispatch/in_flight_request.h
+++ b/node/dispatch/in_flight_request.h
@@ -48,6 +48,8 @@
   /// @param client_deadline when the client gives up
   /// @param fallback_timer fails the request if it has no final answer by then
   void set_deadline(double client_deadline, std::unique_ptr<boost::asio::steady_timer> fallback_timer);
+  /// Whether the last byte of the request has arrived; false once the request is completed.
+  bool has_deadline() const { return fallback_timer_ != nullptr; }
   /// Whether the request has no final answer yet, has a deadline, and the deadline is after this time.
   bool has_deadline_after(double time) const;
   /// @return the longest time in s that an attempt may take if it starts now
--- a/node/downstream/graceful_shutdown.cpp
+++ b/node/downstream/graceful_shutdown.cpp
@@ -26,8 +26,8 @@
 constexpr Seconds kAcceptPeriod{0.5};
 
 /// The longest client timeout of the classes in force, at most kMaxClientWait. Classes that are no longer in
-/// force are ignored: they do not determine when the process is killed, and open requests of them may still
-/// use their full timeout.
+/// force are ignored: they do not determine when the process is killed, and requests of them that have been
+/// received may still use their full timeout.
 Seconds longest_client_wait(const RequestCatalog& catalog) {
   double longest = 0;
   for (std::size_t i = 0; i < catalog.in_force_count; ++i) {
@@ -53,9 +53,10 @@
   phase_ = Phase::kShuttingDown;
   done_ = std::move(done);
   const Seconds longest_wait = longest_client_wait(catalog);
-  dispatcher_.answer_all_within((kMaxClientWait + kLastResponseMargin).count());
-  last_response_due_ =
-      Clock::Steady::now() + Clock::to_duration((longest_wait + kLastResponseMargin).count());
+  const Seconds last_response = longest_wait + kLastResponseMargin;
+  dispatcher_.answer_all_within(
+      {.received = (kMaxClientWait + kLastResponseMargin).count(), .arriving = last_response.count()});
+  last_response_due_ = Clock::Steady::now() + Clock::to_duration(last_response.count());
   if (admission_.is_listener_inherited()) {
     admission_.close_inherited_listener();
     finish_if_complete();
--- a/tests/node/abandoned_attempt_test.cpp
+++ b/tests/node/abandoned_attempt_test.cpp
@@ -145,12 +145,8 @@
   const auto& [end_case, is_streamed] = GetParam();
   const FileDescriptor listener = new_tcp_socket();
   ASSERT_GT(listen_on_loopback(listener, 0, 128), 0);
-  StartOptions options;
-  if (end_case.inherits_listener) {
-    options.environment = {{"RELAY_LISTEN_FD", std::to_string(NodeProcess::kInheritedListenerFd)}};
-    options.inherited_listener = listener.get();
-  }
-  HungServer hung(is_streamed, end_case.can_cancel, options);
+  HungServer hung(is_streamed, end_case.can_cancel,
+                  end_case.inherits_listener ? options_with_inherited_listener(listener) : StartOptions{});
   end_case.end_attempt(hung);
   if (HasFatalFailure()) return;
   hung.expect_incomplete_body();
--- a/tests/node/connection_shutdown_race_test.cpp
+++ b/tests/node/connection_shutdown_race_test.cpp
@@ -3,6 +3,10 @@
 /// its server being disabled or drained.
 #include <gtest/gtest.h>
 
+#include <ostream>
+#include <string>
+#include <tuple>
+
 #include "harness/held_server_deployment.h"
 #include "node_harness.h"
 
@@ -69,6 +73,89 @@
   EXPECT_EQ(node.program->exit_status(), 0);
 }
 
+// When the last byte of a body arrives, counted from SIGTERM, and what the answer has to be.
+struct LateBodyCase {
+  const char* name;
+  std::chrono::milliseconds last_byte_at;
+  int status;
+  bool is_class_replaced = false;  // by a reload before SIGTERM, with one that has a shorter timeout
+};
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest looks for
+void PrintTo(const LateBodyCase& late_body, std::ostream* out) { *out << late_body.name; }
+
+class LateBody : public testing::TestWithParam<std::tuple<LateBodyCase, bool, bool>> {};
+
+constexpr LateBodyCase kLateBodyCases[] = {
+    {"BeforeTheLastResponse", 1000ms, 502},
+    {"AfterTheLastResponse", 2450ms, 503},
+    {"OfAReplacedClass", 1000ms, 502, true},
+};
+
+INSTANTIATE_TEST_SUITE_P(Ends, LateBody,
+                         testing::Combine(testing::ValuesIn(kLateBodyCases), testing::Bool(),
+                                          testing::Bool()),
+                         [](const auto& info) {
+                           return std::string(std::get<0>(info.param).name) +
+                                  (std::get<1>(info.param) ? "Streamed" : "Buffered") +
+                                  (std::get<2>(info.param) ? "InATakeover" : "");
+                         });
+
+// Prevents this failure: the last byte of an upload arrives so late after SIGTERM that the request's own
+// timeout ends after the process is killed, and the request is never answered (lost).
+TEST_P(LateBody, IsAnsweredBeforeTheKill) {
+  const auto& [late_body, is_streamed, is_takeover] = GetParam();
+  const std::string classes = class_json("close", "unsafe", "", "1.0", "2.0");
+  constexpr auto kKillAfterSigterm = 2700ms;  // the longest client timeout and 0.7 s
+  const FileDescriptor listener = new_tcp_socket();
+  ASSERT_GT(listen_on_loopback(listener, 0, 128), 0);
+  OneServerDeployment deployment(never_reply(),
+                                 late_body.is_class_replaced ? NodeConfig{} : NodeConfig{.classes = classes},
+                                 is_takeover ? options_with_inherited_listener(listener) : StartOptions{});
+  Connection client = deployment.client();
+  const std::string text =
+      RequestBuilder{.body = std::string((is_streamed ? 1200 : 300) * kKibibyte, 'b')}.text();
+  std::size_t sent = text.size() - 32 * kKibibyte;
+  client.write(text.substr(0, sent));
+  // A streamed request has its class once it is passed on, a buffered one once it is complete.
+  const int expected_connections = is_streamed ? 1 : 0;
+  ASSERT_TRUE(
+      eventually([&] { return deployment.server.listener().open_connections() == expected_connections; }));
+  if (late_body.is_class_replaced) {
+    NodeConfig config = deployment.config;
+    config.classes = classes;
+    deployment.reload(config);
+  }
+  const auto sigterm_at = std::chrono::steady_clock::now();
+  deployment.program->signal(SIGTERM);
+  while (std::chrono::steady_clock::now() < sigterm_at + late_body.last_byte_at) {
+    client.write(text.substr(sent++, 1));  // the body must not stall
+    std::this_thread::sleep_for(20ms);
+  }
+  client.write(text.substr(sent));
+  EXPECT_EQ(status_of(client.read_message()), late_body.status);
+  EXPECT_LT(std::chrono::steady_clock::now() - sigterm_at, kKillAfterSigterm);
+  EXPECT_EQ(deployment.server.requests().size(), late_body.status == 502 ? 1 : 0)
+      << "a request that is rejected must not run";
+  EXPECT_EQ(deployment.program->exit_status(), 0);
+}
+
+// Prevents this failure: a server that hangs keeps the node from reading the end of an upload, and the
+// client, which has sent all of it, gets no answer before the process is killed (lost).
+TEST(GracefulShutdown, UploadThatItsServerDoesNotReadIsAnsweredBeforeTheKill) {
+  constexpr auto kKillAfterSigterm = 1200ms;  // the longest client timeout and 0.7 s
+  const FullListener hanging;
+  hanging.set_receive_buffer(16 * 1024);
+  NodeConfig config = config_with_server(hanging.address());
+  config.classes = classes_with_short_timeout();
+  const NodeProcess program(config.text());
+  Connection client = Connection::to(program.port());
+  client.write_until_blocked(RequestBuilder{.body = std::string(8 * kMebibyte, 'b')}.text());
+  const auto sigterm_at = std::chrono::steady_clock::now();
+  program.signal(SIGTERM);
+  EXPECT_EQ(status_of(client.read_message()), 503);
+  EXPECT_LT(std::chrono::steady_clock::now() - sigterm_at, kKillAfterSigterm);
+}
+
 // Requests that the node has read must not be dropped with the connection during the pause after an error
 // response: the node serves pipelined requests until a response announces the close of the connection.
 TEST(GracefulShutdown, RequestPipelinedBehindAnErrorIsAnswered) {
--- a/tests/node/harness/node_process.cpp
+++ b/tests/node/harness/node_process.cpp
@@ -17,6 +17,13 @@
 
 namespace nettleyoke::node {
 
+StartOptions options_with_inherited_listener(const FileDescriptor& listener) {
+  StartOptions options;
+  options.environment = {{"RELAY_LISTEN_FD", std::to_string(NodeProcess::kInheritedListenerFd)}};
+  options.inherited_listener = listener.get();
+  return options;
+}
+
 NodeProcess::NodeProcess(const std::string& config, const StartOptions& options) {
   static std::atomic<int> count = 0;
   base_path_ = testing::TempDir() + "/node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
--- a/tests/node/harness/node_process.h
+++ b/tests/node/harness/node_process.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <string>
 
+#include "harness/file_descriptor.h"
+
 namespace nettleyoke::node {
 
 /// Options of a node's start that are not part of its configuration.
@@ -19,6 +21,9 @@
   int inherited_listener = -1;  ///< becomes NodeProcess::kInheritedListenerFd; -1: none
 };
 
+/// Options of a node that takes part in a takeover: it serves on a listening socket of the platform.
+StartOptions options_with_inherited_listener(const FileDescriptor& listener);
+
 /// Starts a node. The destructor sends SIGTERM to a node that still runs and expects exit status 0; a
 /// sanitizer that found an error causes another status. Owns the configuration file and the log.
 class NodeProcess {
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -26,9 +26,9 @@
   Platform(const Platform&) = delete;
   Platform& operator=(const Platform&) = delete;
   StartOptions start_options() const {
-    return {.environment = {{"TMPDIR", directory},
-                            {"RELAY_LISTEN_FD", std::to_string(NodeProcess::kInheritedListenerFd)}},
-            .inherited_listener = listener.get()};
+    StartOptions options = options_with_inherited_listener(listener);
+    options.environment["TMPDIR"] = directory;
+    return options;
   }
   // The name must not change, because processes of an older and a newer build share this file.
   std::string disabled_servers_path() const { return directory + "/thymewood-disabled.json"; }
