--- a/node/http/socket_helpers.h
+++ b/node/http/socket_helpers.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cerrno>
 #include <cstddef>
+#include <limits>
 
 namespace nettleyoke::node {
 
@@ -25,11 +26,12 @@
   return received >= 0 || !would_block();
 }
 
-/// Whether the peer's system has not acknowledged all bytes that were written to the socket. It may lack some
-/// of them, which the operating system goes on sending. Also true if the operating system can't tell.
-[[nodiscard]] inline bool has_unacknowledged_bytes(boost::asio::ip::tcp::socket& socket) {
+/// Counts the bytes that were written to the socket and that the peer's system has not acknowledged. It may
+/// lack some of them, which the operating system goes on sending.
+/// @return the largest number if the operating system can't tell
+[[nodiscard]] inline int unacknowledged_bytes(boost::asio::ip::tcp::socket& socket) {
   int bytes = 0;
-  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes > 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : std::numeric_limits<int>::max();
 }
 
 /// Sets whether the end of the socket, also by the end of the process, discards the bytes that it has not
--- a/node/upstream/server_connection.cpp
+++ b/node/upstream/server_connection.cpp
@@ -76,7 +76,7 @@
 void ServerConnection::close() {
   state_ = State::kClosed;
   cancel_timer(timer_);
-  if (!has_unacknowledged_request()) set_reset_on_close(socket_, false);
+  if (unacknowledged_bytes() == 0) set_reset_on_close(socket_, false);
   error_code ignored;
   socket_.close(ignored);
 }
@@ -86,7 +86,7 @@
   return timer_.expiry() > now && !is_readable(socket_);
 }
 
-bool ServerConnection::has_unacknowledged_request() { return has_unacknowledged_bytes(socket_); }
+int ServerConnection::unacknowledged_bytes() { return node::unacknowledged_bytes(socket_); }
 
 bool ServerConnection::has_unexpected_input() { return buffer_.size() > 0 || is_readable(socket_); }
 
--- a/node/upstream/server_connection.h
+++ b/node/upstream/server_connection.h
@@ -43,8 +43,8 @@
   /// Closes the connection. Resets it if the server's system has not acknowledged all of the last request, so
   /// that the server never gets the rest.
   void close();
-  /// Whether the server's system has not acknowledged all bytes that were written. It may lack some of them.
-  [[nodiscard]] bool has_unacknowledged_request();
+  /// The bytes that were written and that the server's system has not acknowledged. It may lack some of them.
+  [[nodiscard]] int unacknowledged_bytes();
 
   bool is_idle() const { return state_ == State::kIdle; }
   bool is_in_quarantine(Clock::Steady::time_point now) const { return reusable_at_ > now; }
--- a/node/upstream/upstream_attempt.cpp
+++ b/node/upstream/upstream_attempt.cpp
@@ -22,8 +22,11 @@
 // few bytes at a time would otherwise hold the request until its timeout, although another server could still
 // answer it.
 constexpr std::chrono::milliseconds kResponseCompletionTimeout{250};
-// Time limit for a server that sends no byte of a large response or reads no byte of a large request.
+// Time limit for a server that sends no byte of a large response or reads no byte of a large request. A
+// request that allows less time shortens it for reading.
 constexpr std::chrono::seconds kPeerSilenceTimeout{3};
+// How often within its time limit a server that reads a large request is checked for progress.
+constexpr int kRequestProgressChecks = 4;
 
 // How long the acknowledgement of a received request may take. The rules on sockets allow 50 ms, and systems
 // hold back an acknowledgement for up to 40 ms.
@@ -51,8 +54,9 @@
   writer_.assign(request);
   if (is_abandoned()) return finish_later(Outcome::kCancelled);
   const Clock::Steady::time_point now = Clock::Steady::now();
-  const Clock::Steady::time_point deadline =
-      now + Clock::to_duration(std::max(limits.timeout, limits.deadline));
+  const Clock::Steady::duration request_time = Clock::to_duration(std::max(limits.timeout, limits.deadline));
+  const Clock::Steady::time_point deadline = now + request_time;
+  request_silence_limit_ = std::min<Clock::Steady::duration>(kPeerSilenceTimeout, request_time);
   std::optional<Clock::Steady::time_point> send_by;
   if (limits.send_within) send_by = now + Clock::to_duration(*limits.send_within);
   writer_.set_time_limits(deadline, send_by);
@@ -87,12 +91,28 @@
   });
 }
 
-// Ends the attempt if the server neither sends nor reads a byte for too long.
-void UpstreamAttempt::start_silence_timer(Outcome outcome) {
+// Ends the attempt if the server sends no byte of a streamed response for too long.
+void UpstreamAttempt::start_response_silence_timer() {
   progress_timer_.expires_after(kPeerSilenceTimeout);
-  progress_timer_.async_wait([self = shared_from_this(), outcome](error_code cancelled) {
+  progress_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
     if (cancelled || self->is_finished() || self->progress_timer_.expiry() > Clock::Steady::now()) return;
-    self->finish(outcome, ConnectionReuse::kClose);
+    self->finish(Outcome::kReset, ConnectionReuse::kClose);
+  });
+}
+
+// Ends the attempt if the server's system takes no byte of a streamed request for too long. A socket becomes
+// writable only when much of its buffer is free, which may take a slow server longer.
+void UpstreamAttempt::watch_request_progress(int unacknowledged, Clock::Steady::time_point silent_since) {
+  progress_timer_.expires_after(request_silence_limit_ / kRequestProgressChecks);
+  progress_timer_.async_wait([self = shared_from_this(), unacknowledged, silent_since](error_code cancelled) {
+    const Clock::Steady::time_point now = Clock::Steady::now();
+    if (cancelled || self->is_finished() || self->progress_timer_.expiry() > now) return;
+    const int remaining = self->connection_->unacknowledged_bytes();
+    if (remaining < unacknowledged) return self->watch_request_progress(remaining, now);
+    if (now < silent_since + self->request_silence_limit_) {
+      return self->watch_request_progress(unacknowledged, silent_since);
+    }
+    self->finish(Outcome::kConnectFailed, ConnectionReuse::kClose);
   });
 }
 
@@ -107,7 +127,7 @@
   delivery_timer_.expires_at(time + kMaxAcknowledgementDelay);
   delivery_timer_.async_wait([self = shared_from_this(), outcome](error_code cancelled) {
     if (cancelled || self->is_finished() || self->state_ != State::kAwaitingResponse) return;
-    if (self->connection_->has_unacknowledged_request()) self->finish(outcome, ConnectionReuse::kClose);
+    if (self->connection_->unacknowledged_bytes() > 0) self->finish(outcome, ConnectionReuse::kClose);
   });
 }
 
@@ -149,7 +169,10 @@
 }
 
 void UpstreamAttempt::wait_for_socket_writable() {
-  if (writer_.is_streamed()) start_silence_timer(Outcome::kConnectFailed);
+  // The client may have sent its last byte already: while the server does not read, nor does the node.
+  if (writer_.is_streamed()) {
+    watch_request_progress(connection_->unacknowledged_bytes(), Clock::Steady::now());
+  }
   connection_->socket().async_wait(tcp::socket::wait_write,
                                    [self = shared_from_this(), connection = connection_](error_code error) {
                                      if (self->is_finished()) return;
@@ -205,7 +228,7 @@
   }
   // The read in flight continues, and its bytes go to the pipe.
   start_streaming();
-  start_silence_timer(Outcome::kReset);
+  start_response_silence_timer();
 }
 
 // Each socket operation holds a reference to the connection because it uses the connection's buffer. An
@@ -270,7 +293,7 @@
     if (self->reader_.pipe()->is_reader_closed()) {
       return self->finish(Outcome::kCancelled, ConnectionReuse::kClose);
     }
-    self->start_silence_timer(Outcome::kReset);
+    self->start_response_silence_timer();
     self->read_more();
   });
 }
--- a/node/upstream/upstream_attempt.h
+++ b/node/upstream/upstream_attempt.h
@@ -62,7 +62,8 @@
 
   void start_timeout();
   void finish_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome);
-  void start_silence_timer(Outcome outcome);
+  void start_response_silence_timer();
+  void watch_request_progress(int unacknowledged, Clock::Steady::time_point silent_since);
   void write();
   void wait_for_body();
   void watch_for_early_close();
@@ -93,6 +94,7 @@
   bool is_finish_scheduled_ = false;          // finish_later() was called: no more of the request is written
   bool is_watching_early_close_ = false;      // for a server that closes before it has the complete request
   double timeout_ = 0;                        // s
+  Clock::Steady::duration request_silence_limit_{};  // for a server that takes no byte
   // The start of the attempt; for a streamed request, the time when its last byte was written.
   Clock::Steady::time_point sent_at_ = Clock::Steady::now();
   Clock::Steady::time_point first_byte_at_;
--- a/tests/node/large_request_test.cpp
+++ b/tests/node/large_request_test.cpp
@@ -155,6 +155,44 @@
   EXPECT_EQ(status_of(client.read_message()), 503);
 }
 
+// Prevents this failure: a server that hangs keeps the node from reading the end of an upload, and the
+// client, which has sent all of it, gets its answer too late (lost). An answer up to 0.5 s after its time
+// only earns nothing.
+TEST(LargeRequest, UploadThatItsServerDoesNotReadIsAnsweredWithinTheClientTimeout) {
+  const FullListener hanging;
+  hanging.set_receive_buffer(16 * 1024);
+  NodeConfig config = config_with_server(hanging.address());
+  config.classes = class_json("close", "unsafe", "", "0.5", "0.8");
+  const NodeProcess node(config.text());
+  Connection client = Connection::to(node.port());
+  client.write(RequestBuilder{.body = large_body(4 * kMebibyte)}.text());
+  const auto last_byte_at = std::chrono::steady_clock::now();
+  EXPECT_EQ(status_of(client.read_message()), 503) << "no server has all of it";
+  EXPECT_LT(std::chrono::steady_clock::now() - last_byte_at, 800ms + 500ms);
+}
+
+// The socket to a server that reads slowly is not writable for longer than the client timeout at a time.
+TEST(LargeRequest, UploadThatItsServerReadsSlowlyIsWrittenCompletely) {
+  constexpr std::size_t kBodyBytes = 8 * kMebibyte;
+  Listener slow([](Connection& connection) {
+    for (std::size_t received = 0; received < kBodyBytes;) {
+      const std::size_t size = connection.read_some().size();
+      if (size == 0) return;
+      received += size;
+      std::this_thread::sleep_for(5ms);
+    }
+    connection.write(http_response(200, "ok"));
+  });
+  NodeConfig config = config_with_server(slow.address());
+  config.admin = "127.0.0.1:0";
+  config.classes = class_json("close", "unsafe", "", "0.2", "0.3");
+  const NodeProcess node(config.text());
+  Connection client = Connection::to(node.port());
+  client.write(RequestBuilder{.body = large_body(kBodyBytes)}.text());
+  EXPECT_EQ(status_of(client.read_message()), 502) << "its time ends after its last byte was written";
+  EXPECT_TRUE(node.eventually_reports(R"("backend_calls":1,)"));
+}
+
 TEST(LargeRequest, ClientDisconnectMidwayClosesTheServerConnection) {
   BodyServer server;
   const auto node = node_in_front_of(server.listener());
