--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -31,9 +31,8 @@
 
 /// How long requests may take once the process is to end, in seconds from then.
 struct ShutdownLimits {
-  double received = 0;  ///< for requests that were received before
-  double arriving =
-      0;  ///< for requests whose last byte arrives later; rejects those that are incomplete then
+  double received = 0;  ///< for requests whose last byte arrived before
+  double arriving = 0;  ///< for all others; those that are still incomplete then are rejected
 };
 
 class Dispatcher : private ActionExecutor, private MembershipTracker::Observer {
--- a/node/downstream/client_connection.cpp
+++ b/node/downstream/client_connection.cpp
@@ -1,7 +1,6 @@
 #include "downstream/client_connection.h"
 
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
 #include <cassert>
@@ -16,6 +15,7 @@
 #include "downstream/connection_timeouts.h"
 #include "downstream/graceful_shutdown.h"
 #include "downstream/local_response.h"
+#include "http/socket_helpers.h"
 
 namespace nettleyoke::node {
 
@@ -33,8 +33,7 @@
 /// Sends as many bytes as the socket accepts without blocking.
 /// @return whether all bytes were sent.
 bool try_send_all(tcp::socket& socket, std::string_view bytes) {
-  const ssize_t sent =
-      ::send(socket.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  const ssize_t sent = send_without_waiting(socket, bytes.data(), bytes.size());
   return sent == static_cast<ssize_t>(bytes.size());
 }
 
--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -11,12 +11,12 @@
 #include "downstream/connection_timeouts.h"
 #include "downstream/graceful_shutdown.h"
 #include "downstream/local_response.h"
+#include "http/socket_helpers.h"
 
 namespace nettleyoke::node {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
+using boost::asio::ip::tcp;
 using boost::system::error_code;
 
 // ---------------------------------------------------------------- requests
@@ -202,8 +202,7 @@
 // The server aborted within the body. Resets the connection: if the close marks the end of the response, an
 // orderly close would make the partial response look complete.
 void ClientConnection::abort_response() {
-  error_code ignored;
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  set_reset_on_close(socket_, true);
   close();
 }
 
