Show that slow responses are cut off and uploads to slow servers answered late

A response without a length whose body comes late or slowly is ended by the node 0.25 s after its first byte, and a request whose server reads slowly is answered long after its time, because the node does not read the client's last byte while the server is slow.

--- /dev/null
+++ b/tests/node/slow_server_test.cpp
@@ -0,0 +1,205 @@
+/// @file
+/// Servers that respond or read slowly, but soundly: a response that has begun is not cut off, and the final
+/// answer of a request whose server reads slowly comes in the time of the request.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <ostream>
+#include <string>
+#include <thread>
+#include <tuple>
+
+#include "large_body.h"
+#include "node_harness.h"
+
+namespace nettleyoke::node {
+namespace {
+
+using Milliseconds = std::chrono::milliseconds;
+
+// The pages count an answer as lost that comes later than this after its time.
+constexpr Milliseconds kAnswerSlack{500};
+
+enum class Framing { kChunked, kClose, kLength };
+
+std::string name_of(Framing framing) {
+  if (framing == Framing::kLength) return "Length";
+  return framing == Framing::kChunked ? "Chunked" : "Close";
+}
+
+std::string response_head(Framing framing, std::size_t length) {
+  switch (framing) {
+    case Framing::kChunked:
+      return kChunkedResponseHead;
+    case Framing::kClose:
+      return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    case Framing::kLength:
+      return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+  }
+  return {};
+}
+
+// How a server writes a response.
+struct Pace {
+  const char* name;
+  std::size_t body_bytes;
+  Milliseconds pause_after_head;
+  std::size_t piece_bytes;
+  Milliseconds pause_after_piece;
+  const char* timeout_ms;  // of the client
+};
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest looks for
+void PrintTo(const Pace& pace, std::ostream* out) { *out << pace.name; }
+
+FakeServer::Reply reply_slowly(Framing framing, const Pace& pace) {
+  return [framing, pace](Connection& connection, const std::string&) {
+    const std::string body = large_body(pace.body_bytes);
+    if (!connection.write(response_head(framing, body.size()))) return false;
+    std::this_thread::sleep_for(pace.pause_after_head);
+    for (std::size_t at = 0; at < body.size(); at += pace.piece_bytes) {
+      const std::string piece = body.substr(at, pace.piece_bytes);
+      if (!connection.write(framing == Framing::kChunked ? http_chunk(piece) : piece)) return false;
+      std::this_thread::sleep_for(pace.pause_after_piece);
+    }
+    if (framing == Framing::kChunked) connection.write("0\r\n\r\n");
+    return framing != Framing::kClose;
+  };
+}
+
+RequestBuilder request_of_class(const std::string& request_class, const std::string& timeout_ms) {
+  RequestBuilder request{.request_class = request_class, .timeout_ms = timeout_ms};
+  request.fields = "Connection: close\r\n";
+  if (request_class == "mark") request.idempotency_key = "k";
+  if (request_class == "look") {
+    request.method = "GET";
+    request.body = "";
+  }
+  return request;
+}
+
+std::string decoded_body(const std::string& response) {
+  const std::string body = body_of(response);
+  return field_of(response, "Transfer-Encoding") == "chunked" ? dechunked(body).value_or("incomplete") : body;
+}
+
+class SlowResponse : public testing::TestWithParam<std::tuple<Pace, Framing, const char*>> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    Paces, SlowResponse,
+    testing::Combine(testing::Values(Pace{"LateBody", 150000, 900ms, 30000, 100ms, "2500"},
+                                     Pace{"SlowBody", 100000, 0ms, 1600, 40ms, "1500"},
+                                     Pace{"BodyAfterTheTimeout", 150000, 900ms, 16000, 50ms, "700"}),
+                     testing::Values(Framing::kChunked, Framing::kClose, Framing::kLength),
+                     testing::Values("close", "mark", "look")),
+    [](const auto& info) {
+      return std::get<0>(info.param).name + name_of(std::get<1>(info.param)) + "_" + std::get<2>(info.param);
+    });
+
+// Prevents this failure: a response over 64 KiB that its server still wrote was cut off after 0.25 s (lost).
+TEST_P(SlowResponse, OverTheBufferedSizeIsNotCutOff) {
+  const auto& [pace, framing, request_class] = GetParam();
+  FakeServer first(reply_slowly(framing, pace));
+  FakeServer second(reply_slowly(framing, pace));
+  Deployment deployment({&first, &second});
+  Connection client = deployment.client();
+  client.write(request_of_class(request_class, pace.timeout_ms).text());
+  const auto sent_at = std::chrono::steady_clock::now();
+  ASSERT_TRUE(client.receive_more());
+  EXPECT_LT(std::chrono::steady_clock::now() - sent_at, Milliseconds(std::stoi(pace.timeout_ms)));
+  const std::string response = client.read_to_end();
+  EXPECT_EQ(status_of(response), 200) << deployment.program->log();
+  EXPECT_TRUE(decoded_body(response) == large_body(pace.body_bytes)) << deployment.program->log();
+}
+
+// The same failure with a response that is not large: no retry is allowed, so that waiting loses nothing.
+TEST(SlowSmallResponse, OfANonIdempotentRequestIsServedWithinTheClientTimeout) {
+  for (const Framing framing : {Framing::kChunked, Framing::kClose, Framing::kLength}) {
+    OneServerDeployment deployment(reply_slowly(framing, Pace{"", 40000, 100ms, 4000, 80ms, ""}));
+    Connection client = deployment.client();
+    client.write(request_of_class("close", "3000").text());
+    const std::string response = client.read_to_end();
+    EXPECT_EQ(status_of(response), 200) << deployment.program->log();
+    EXPECT_TRUE(decoded_body(response) == large_body(40000));
+  }
+}
+
+// A server that reads a request at a constant rate and never responds. Its socket holds little, so that the
+// bytes that it has not read stay on the node's side.
+class SlowReader {
+ public:
+  explicit SlowReader(std::size_t bytes_per_second)
+      : listener_([=](Connection& connection) {
+          const int receive_buffer = 16 * 1024;
+          ::setsockopt(connection.fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+          for (std::string piece = connection.read_some(); !piece.empty(); piece = connection.read_some()) {
+            std::this_thread::sleep_for(std::chrono::duration<double>(static_cast<double>(piece.size()) /
+                                                                      static_cast<double>(bytes_per_second)));
+          }
+        }) {}
+  std::string address() const { return listener_.address(); }
+
+ private:
+  Listener listener_;
+};
+
+// An upload, and how its client sends it.
+struct Upload {
+  const char* name;
+  std::size_t body_bytes;
+  std::size_t server_bytes_per_second;
+  Milliseconds pause_after_piece;  // of the client, after each 16 KiB
+  const char* timeout_ms;
+  int memory_mb = 192;
+};
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest looks for
+void PrintTo(const Upload& upload, std::ostream* out) { *out << upload.name; }
+
+class SlowlyReadUpload : public testing::TestWithParam<std::tuple<Upload, Framing, const char*>> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    Uploads, SlowlyReadUpload,
+    testing::Combine(testing::Values(Upload{"OneMegabyteAtOnce", 990000, 77000, 0ms, "750"},
+                                     Upload{"ThreeMegabytesAtOnce", 3 * kMebibyte, 400000, 0ms, "900"},
+                                     Upload{"TwelveMegabytesAtOnce", 12 * kMebibyte, 2000000, 0ms, "600"},
+                                     Upload{"TwoMegabytesSentSlowly", 2 * kMebibyte, 110000, 10ms, "600"},
+                                     Upload{"BeyondTheMemory", 9 * kMebibyte, 300000, 0ms, "800", 16}),
+                     testing::Values(Framing::kLength, Framing::kChunked), testing::Values("close", "mark")),
+    [](const auto& info) {
+      return std::get<0>(info.param).name + name_of(std::get<1>(info.param)) + "_" + std::get<2>(info.param);
+    });
+
+// Prevents this failure: while a server read a large request slowly, the node did not see the client's last
+// byte, and the final answer came seconds after its time (lost).
+TEST_P(SlowlyReadUpload, IsAnsweredInTheTimeOfTheRequest) {
+  const auto& [upload, framing, request_class] = GetParam();
+  SlowReader server(upload.server_bytes_per_second);
+  NodeConfig config = config_with_server(server.address());
+  config.memory_mb = upload.memory_mb;
+  const NodeProcess node(config.text());
+  Connection client = Connection::to(node.port());
+  RequestBuilder request = request_of_class(request_class, upload.timeout_ms);
+  const std::string body = large_body(upload.body_bytes);
+  std::string text;
+  if (framing == Framing::kChunked) {
+    request.body = "";
+    request.fields += "Transfer-Encoding: chunked\r\n";
+    text = request.text() + chunked(body, 50000) + "\r\n";
+  } else {
+    request.body = body;
+    text = request.text();
+  }
+  constexpr std::size_t kPieceBytes = 16 * kKibibyte;
+  for (std::size_t at = 0; at < text.size() && client.write(text.substr(at, kPieceBytes));
+       at += kPieceBytes) {
+    std::this_thread::sleep_for(upload.pause_after_piece);
+  }
+  const auto last_byte_at = std::chrono::steady_clock::now();
+  const int status = status_of(client.read_message());
+  EXPECT_TRUE(status == 502 || status == 503) << status;
+  EXPECT_LT(std::chrono::steady_clock::now() - last_byte_at,
+            Milliseconds(std::stoi(upload.timeout_ms)) + kAnswerSlack)
+      << node.log();
+}
+
+}  // namespace
+}  // namespace nettleyoke::node
