Wait for a response that has begun as long as its request has time

Cause: a limit of 0.25 s from the first byte of a response, meant for responses that stop, ended every response that had not reached 64 kB/s by then, also where no retry was allowed or all servers answered alike.

Change: SlowResponsePolicy decides. Otherwise it is waited for until the time of the request ends. The request log names why an attempt was given up.

--- a/include/nettleyoke/balancer.h
+++ b/include/nettleyoke/balancer.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "nettleyoke/actions.h"
@@ -43,6 +44,12 @@
   /// then keeps its settings.
   void handle(double now, const Event& event, std::vector<Action>& actions);
 
+  /// Whether the host should give up an attempt whose response has begun and is late, because the request
+  /// would be retried. Only one response of a request is given up in this way: if that of a second server is
+  /// late too, the response itself takes long. Changes no decision.
+  /// @param id Of an open request.
+  [[nodiscard]] bool may_retry_incomplete_response(double now, const std::string& id);
+
   /// Admission statistics, for metrics.
   /// @param tenant Index into Settings::tenants; an index out of range stands for traffic without a tenant.
   [[nodiscard]] TenantStatistics tenant_statistics(double now, std::size_t tenant) const;
--- a/include/nettleyoke/events.h
+++ b/include/nettleyoke/events.h
@@ -63,6 +63,8 @@
   double elapsed = 0;              ///< s since the attempt was sent.
   bool request_completed = false;  ///< The client needs no further attempt and no other final answer.
   bool body_consumed = false;  ///< The request cannot be sent again: a part of its body is no longer held.
+  /// The host gave it up because its response had begun and was not complete in time.
+  bool response_incomplete = false;
 };
 
 /// The client disconnected or timed out. The request needs no final answer any more.
--- a/node/dispatch/decision_loop.h
+++ b/node/dispatch/decision_loop.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <exception>
+#include <string>
 
 #include "clock.h"
 #include "nettleyoke/balancer.h"
@@ -49,6 +50,10 @@
   /// Passes the event to the Balancer: immediately, or, if called while an event is being handled, after that
   /// event. The Balancer is never called recursively.
   void enqueue_event(Event event);
+  /// See Balancer::may_retry_incomplete_response().
+  [[nodiscard]] bool may_retry_incomplete_response(const std::string& id) {
+    return balancer_.may_retry_incomplete_response(clock_.now(), id);
+  }
   std::size_t unavailable_servers() const { return balancer_.unavailable_server_count(clock_.now()); }
 
  private:
--- a/node/dispatch/dispatcher.cpp
+++ b/node/dispatch/dispatcher.cpp
@@ -136,6 +136,10 @@
     if (!cancelled) on_fallback_timer(id);
   });
   request.set_deadline(client_deadline, std::move(timer));
+  const Clock::Steady::time_point attempts_end = clock_.to_time_point(request.attempts_end_at());
+  for (const InFlightRequest::Attempt& attempt : request.attempts()) {
+    UpstreamClient::set_request_end(attempt.handle, attempts_end);
+  }
 }
 
 // Requests that were received earlier, also those of request classes that are no longer in force, may have a
@@ -230,9 +234,16 @@
   return {[this, id, attempt](HttpResponse&& head, std::shared_ptr<BodyPipe> body, double elapsed) {
             on_response_started(id, attempt, std::move(head), std::move(body), elapsed);
           },
-          [this, id, attempt](Outcome outcome, HttpResponse&& response, double elapsed) {
-            on_attempt_ended(id, attempt, outcome, std::move(response), elapsed);
-          }};
+          [this, id, attempt](const AttemptEnd& end, HttpResponse&& response) {
+            on_attempt_ended(id, attempt, end, std::move(response));
+          },
+          [this, id] { return may_retry_incomplete_response(id); }};
+}
+
+bool Dispatcher::may_retry_incomplete_response(const std::string& id) {
+  const InFlightRequest* const request = find_unanswered(id);
+  return request != nullptr && !request->is_body_consumed() &&
+         decision_loop_.may_retry_incomplete_response(id);
 }
 
 // A large response becomes the final answer as soon as its first bytes arrive.
@@ -244,22 +255,23 @@
   decision_loop_.enqueue_event(ResponseStarted{id, static_cast<int>(attempt), elapsed});
 }
 
-void Dispatcher::on_attempt_ended(const std::string& id, std::size_t attempt, Outcome outcome,
-                                  HttpResponse&& response, double elapsed) {
+void Dispatcher::on_attempt_ended(const std::string& id, std::size_t attempt, const AttemptEnd& end,
+                                  HttpResponse&& response) {
   InFlightRequest* const request = find(id);
   if (request == nullptr) return;
   request->close_attempt(attempt);
-  if (outcome == Outcome::kSucceeded && !request->is_completed()) {
+  if (end.outcome == Outcome::kSucceeded && !request->is_completed()) {
     request->answer({FinalAnswer::Kind::kServed, 0, std::move(response), nullptr}, clock_.now());
   }
   AttemptResult event;
   event.id = id;
   event.attempt = static_cast<int>(attempt);
-  event.outcome = outcome;
-  event.elapsed = elapsed;
+  event.outcome = end.outcome;
+  event.elapsed = end.elapsed;
+  event.response_incomplete = end.reason == EndReason::kResponseIncomplete;
   event.body_consumed = request->is_body_consumed();
   event.request_completed = request->is_completed();
-  request->record_attempt(attempt, outcome, elapsed);
+  request->record_attempt(attempt, end);
   decision_loop_.enqueue_event(std::move(event));
   erase_if_settled(id);
 }
@@ -274,13 +286,14 @@
   const auto bounded = [time_left](double limit) {
     return limit == 0 ? time_left : std::min(limit, time_left);
   };
+  const double request_time = request->attempts_end_at() - clock_.now();
   // With a timeout of 0, an attempt started after the final answer is never sent.
   const double timeout = request->is_completed() ? 0 : bounded(action.timeout);
   const std::size_t attempt = request->add_attempt(action.server);
-  request->set_attempt_handle(attempt,
-                              upstream_.start_attempt(action.server, request->message(),
-                                                      {timeout, bounded(action.deadline), action.send_within},
-                                                      callbacks_of(action.id, attempt)));
+  request->set_attempt_handle(
+      attempt, upstream_.start_attempt(action.server, request->message(),
+                                       {timeout, request_time, bounded(action.deadline), action.send_within},
+                                       callbacks_of(action.id, attempt)));
 }
 
 void Dispatcher::execute(const Reject& action) {
--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -95,8 +95,9 @@
   AttemptCallbacks callbacks_of(const std::string& id, std::size_t attempt);
   void on_response_started(const std::string& id, std::size_t attempt, HttpResponse&& head,
                            std::shared_ptr<BodyPipe> body, double elapsed);
-  void on_attempt_ended(const std::string& id, std::size_t attempt, Outcome outcome, HttpResponse&& response,
-                        double elapsed);
+  void on_attempt_ended(const std::string& id, std::size_t attempt, const AttemptEnd& end,
+                        HttpResponse&& response);
+  [[nodiscard]] bool may_retry_incomplete_response(const std::string& id);
 
   void execute(const StartAttempt& action) override;
   void execute(const Reject& action) override;
--- a/node/dispatch/in_flight_request.cpp
+++ b/node/dispatch/in_flight_request.cpp
@@ -41,8 +41,8 @@
   attempts_[number].handle = std::move(handle);
 }
 
-void InFlightRequest::record_attempt(std::size_t number, Outcome outcome, double elapsed) {
-  history_.add_attempt(attempts_[number].server, outcome, elapsed);
+void InFlightRequest::record_attempt(std::size_t number, const AttemptEnd& end) {
+  history_.add_attempt(attempts_[number].server, end);
 }
 
 void InFlightRequest::answer(FinalAnswer&& answer, double now) {
--- a/node/dispatch/in_flight_request.h
+++ b/node/dispatch/in_flight_request.h
@@ -52,6 +52,8 @@
   bool has_deadline() const { return fallback_timer_ != nullptr; }
   /// Whether the request has no final answer yet, has a deadline, and the deadline is after this time.
   bool has_deadline_after(double time) const;
+  /// When the attempts of the request end; infinite while its body is still arriving.
+  double attempts_end_at() const { return attempts_end_at_; }
   /// @return the longest time in s that an attempt may take if it starts now
   double time_for_attempt(double now) const;
 
@@ -60,8 +62,7 @@
   void set_attempt_handle(std::size_t number, AttemptHandle handle);
   void close_attempt(std::size_t number) { attempts_[number].is_open = false; }
   /// Adds an attempt that has ended to the history.
-  /// @param elapsed s from the start of the attempt to its end
-  void record_attempt(std::size_t number, Outcome outcome, double elapsed);
+  void record_attempt(std::size_t number, const AttemptEnd& end);
   const std::vector<Attempt>& attempts() const { return attempts_; }
 
   /// Gives the final answer. To be called at most once.
--- a/node/dispatch/request_log.cpp
+++ b/node/dispatch/request_log.cpp
@@ -35,6 +35,28 @@
   return "unknown";
 }
 
+// Empty if the outcome says enough.
+const char* name_of(EndReason reason) {
+  switch (reason) {
+    case EndReason::kServer:
+    case EndReason::kTimeout:
+      return "";
+    case EndReason::kRequestTimeOver:
+      return " (time over before the request was written)";
+    case EndReason::kRequestNotRead:
+      return " (request not read)";
+    case EndReason::kRequestUnconfirmed:
+      return " (request not acknowledged)";
+    case EndReason::kResponseIncomplete:
+      return " (response incomplete)";
+    case EndReason::kResponseSilent:
+      return " (response stopped)";
+    case EndReason::kMemoryExhausted:
+      return " (no memory for the response)";
+  }
+  return "";
+}
+
 const char* name_of(FinalAnswer::Kind kind) {
   switch (kind) {
     case FinalAnswer::Kind::kServed:
@@ -52,9 +74,10 @@
 RequestHistory::RequestHistory(std::size_t request_class, double time_left)
     : text_(", class " + std::to_string(request_class) + ", given " + milliseconds(time_left)) {}
 
-void RequestHistory::add_attempt(const std::string& server, Outcome outcome, double elapsed) {
-  text_ += ", " + server + " " + name_of(outcome) + " after " + milliseconds(elapsed);
-  needs_logging_ |= outcome != Outcome::kSucceeded;
+void RequestHistory::add_attempt(const std::string& server, const AttemptEnd& end) {
+  text_ += ", " + server + " " + name_of(end.outcome) + " after " + milliseconds(end.elapsed);
+  text_ += name_of(end.reason);
+  needs_logging_ |= end.outcome != Outcome::kSucceeded;
 }
 
 void RequestHistory::add_final_answer(FinalAnswer::Kind kind, double elapsed) {
--- a/node/dispatch/request_log.h
+++ b/node/dispatch/request_log.h
@@ -9,6 +9,7 @@
 
 #include "dispatch/final_answer.h"
 #include "nettleyoke/events.h"
+#include "upstream/attempt_types.h"
 
 namespace nettleyoke::node {
 
@@ -17,7 +18,7 @@
  public:
   RequestHistory(std::size_t request_class, double time_left);
 
-  void add_attempt(const std::string& server, Outcome outcome, double elapsed);
+  void add_attempt(const std::string& server, const AttemptEnd& end);
   void add_final_answer(FinalAnswer::Kind kind, double elapsed);
   void add_client_disconnect(double elapsed);
 
--- a/node/upstream/response_reader.cpp
+++ b/node/upstream/response_reader.cpp
@@ -10,8 +10,6 @@
 
 constexpr int kMaxInterimResponses = 8;  // 1xx responses before the final one
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
-// The lowest rate at which peers are specified to send bodies.
-constexpr double kMinBodyBytesPerSecond = 64e3;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kServiceUnavailable = 503;
@@ -25,6 +23,7 @@
   parser_->body_limit(kBodyLimit);
   // An eager parser may parse a part of the body together with the head, before the body buffer is set.
   parser_->eager(false);
+  body_bytes_ = 0;
 }
 
 ResponseReader::Parser& ResponseReader::prepare_read() {
@@ -38,6 +37,7 @@
 
 void ResponseReader::consume_read() {
   const std::size_t count = kBodyChunkBytes - parser_->get().body().size;
+  body_bytes_ += count;
   if (pipe_) {
     pipe_->write(body_chunk_.data(), count);
   } else {
@@ -46,13 +46,13 @@
 }
 
 bool ResponseReader::is_large() const {
-  return parser_->is_header_done() && (body_.size() > kMaxUnstreamedBodyBytes ||
+  return parser_->is_header_done() && (body_bytes_ > kMaxUnstreamedBodyBytes ||
                                        parser_->content_length().value_or(0) > kMaxUnstreamedBodyBytes);
 }
 
-bool ResponseReader::is_making_progress(double seconds) const {
-  return parser_->is_header_done() && !parser_->content_length() && is_ok() &&
-         static_cast<double>(body_.size()) >= kMinBodyBytesPerSecond * seconds;
+SlowResponsePolicy::Progress ResponseReader::progress() const {
+  const bool is_streamable = parser_->is_header_done() && !parser_->content_length() && is_ok();
+  return {is_streamable, body_bytes_};
 }
 
 bool ResponseReader::is_interim() const {
--- a/node/upstream/response_reader.h
+++ b/node/upstream/response_reader.h
@@ -15,6 +15,7 @@
 #include "http/memory_budget.h"
 #include "http/message.h"
 #include "nettleyoke/balancer.h"
+#include "upstream/slow_response_policy.h"
 
 namespace nettleyoke::node {
 
@@ -31,11 +32,12 @@
   void consume_read();
 
   bool is_done() const { return parser_->is_done(); }
-  /// Whether the body is known to be larger than kMaxUnstreamedBodyBytes.
+  /// Whether the body is known to be larger than kMaxUnstreamedBodyBytes, also while it is streamed.
   bool is_large() const;
-  /// Whether this is a successful response of unknown length whose body arrives fast enough to be large.
-  /// @param seconds since the first byte of the response
-  bool is_making_progress(double seconds) const;
+  /// What has arrived of a response that is not streamed yet.
+  SlowResponsePolicy::Progress progress() const;
+  /// Bytes of the body that have arrived, buffered or streamed.
+  std::size_t body_bytes() const { return body_bytes_; }
   bool is_ok() const { return parser_->get().result() == boost::beast::http::status::ok; }
   bool is_interim() const;
   /// Counts an interim response.
@@ -63,6 +65,7 @@
  private:
   std::optional<Parser> parser_;
   std::vector<char> body_chunk_;    // body bytes of the last read
+  std::size_t body_bytes_ = 0;      // buffered and streamed
   std::string body_;                // buffered body of a response that is not streamed
   std::shared_ptr<BodyPipe> pipe_;  // set once the response is streamed
   int interim_responses_ = 0;
--- a/node/upstream/upstream_attempt.cpp
+++ b/node/upstream/upstream_attempt.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <chrono>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -18,13 +19,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-// Time limit from the first byte of a response to its completion. A response that stops half-way or arrives a
-// few bytes at a time would otherwise hold the request until its timeout, although another server could still
-// answer it.
-constexpr std::chrono::milliseconds kResponseCompletionTimeout{250};
-// Time limit for a server that sends no byte of a large response or reads no byte of a large request. A
-// request that allows less time shortens it for reading.
-constexpr std::chrono::seconds kPeerSilenceTimeout{3};
+// Time limit for a server that reads no byte of a large request; a request that allows less time shortens it.
+constexpr std::chrono::seconds kRequestSilenceTimeout{3};
 // How often within its time limit a server that reads a large request is checked for progress.
 constexpr int kRequestProgressChecks = 4;
 
@@ -54,9 +50,10 @@
   writer_.assign(request);
   if (is_abandoned()) return finish_later(Outcome::kCancelled);
   const Clock::Steady::time_point now = Clock::Steady::now();
-  const Clock::Steady::duration request_time = Clock::to_duration(std::max(limits.timeout, limits.deadline));
-  const Clock::Steady::time_point deadline = now + request_time;
-  request_silence_limit_ = std::min<Clock::Steady::duration>(kPeerSilenceTimeout, request_time);
+  const Clock::Steady::duration attempt_time = Clock::to_duration(std::max(limits.timeout, limits.deadline));
+  const Clock::Steady::time_point deadline = now + attempt_time;
+  request_silence_limit_ = std::min<Clock::Steady::duration>(kRequestSilenceTimeout, attempt_time);
+  if (std::isfinite(limits.request_time)) request_end_ = now + Clock::to_duration(limits.request_time);
   std::optional<Clock::Steady::time_point> send_by;
   if (limits.send_within) send_by = now + Clock::to_duration(*limits.send_within);
   writer_.set_time_limits(deadline, send_by);
@@ -84,19 +81,54 @@
 // last byte.
 void UpstreamAttempt::start_timeout() {
   if (writer_.has_remaining_body()) return;
-  timeout_timer_.expires_at(Clock::Steady::now() + Clock::to_duration(timeout_));
+  set_timeout_at(std::min(Clock::Steady::now() + Clock::to_duration(timeout_), request_end_));
+}
+
+void UpstreamAttempt::set_timeout_at(Clock::Steady::time_point time) {
+  timeout_timer_.expires_at(time);
   timeout_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-    if (cancelled || self->is_finished() || self->reader_.is_streaming()) return;
-    self->finish(self->is_sent() ? Outcome::kTimedOut : Outcome::kConnectFailed, ConnectionReuse::kClose);
+    if (cancelled || self->is_finished() || self->timeout_timer_.expiry() > Clock::Steady::now()) return;
+    self->on_timeout();
   });
 }
 
+// A streamed request whose last byte is not written has no timeout before this call.
+void UpstreamAttempt::set_request_end(Clock::Steady::time_point end) {
+  request_end_ = end;
+  if (has_ended() || reader_.is_streaming()) return;
+  const bool has_timeout = is_sent() || !writer_.is_streamed();
+  if (!has_timeout || end < timeout_timer_.expiry()) set_timeout_at(end);
+}
+
+void UpstreamAttempt::on_timeout() {
+  if (reader_.is_streaming()) return;
+  if (!is_sent()) return give_up(Outcome::kConnectFailed, EndReason::kRequestTimeOver);
+  if (!slow_response_.has_begun()) return give_up(Outcome::kTimedOut, EndReason::kTimeout);
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  if (now >= request_end_) return on_request_end();
+  switch (slow_response_.check(now, reader_.progress(), callbacks_.may_retry())) {
+    case SlowResponsePolicy::Decision::kWait:
+      return set_timeout_at(request_end_);
+    case SlowResponsePolicy::Decision::kStream:
+      return start_streaming();
+    case SlowResponsePolicy::Decision::kGiveUp:
+      return give_up(Outcome::kTimedOut, EndReason::kResponseIncomplete);
+  }
+}
+
+void UpstreamAttempt::on_request_end() {
+  const auto decision = slow_response_.decide_at_request_end(Clock::Steady::now(), reader_.progress());
+  if (decision == SlowResponsePolicy::Decision::kStream) return start_streaming();
+  give_up(Outcome::kTimedOut, EndReason::kResponseIncomplete);
+}
+
 // Ends the attempt if the server sends no byte of a streamed response for too long.
 void UpstreamAttempt::start_response_silence_timer() {
-  progress_timer_.expires_after(kPeerSilenceTimeout);
+  progress_timer_.expires_after(
+      SlowResponsePolicy::silence_limit(Clock::Steady::now(), reader_.is_large(), request_end_));
   progress_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
     if (cancelled || self->is_finished() || self->progress_timer_.expiry() > Clock::Steady::now()) return;
-    self->finish(Outcome::kReset, ConnectionReuse::kClose);
+    self->give_up(Outcome::kReset, EndReason::kResponseSilent);
   });
 }
 
@@ -112,22 +144,23 @@
     if (now < silent_since + self->request_silence_limit_) {
       return self->watch_request_progress(unacknowledged, silent_since);
     }
-    self->finish(Outcome::kConnectFailed, ConnectionReuse::kClose);
+    self->give_up(Outcome::kConnectFailed, EndReason::kRequestNotRead);
   });
 }
 
 void UpstreamAttempt::cancel_undelivered() {
   if (!is_sent()) return finish_later(Outcome::kCancelled);
-  finish_if_undelivered_at(Clock::Steady::now(), Outcome::kCancelled);
+  give_up_if_undelivered_at(Clock::Steady::now(), Outcome::kCancelled);
 }
 
 // A written request may still be in the memory of the node's system, because the server hangs or can't be
 // reached.
-void UpstreamAttempt::finish_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome) {
+void UpstreamAttempt::give_up_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome) {
   delivery_timer_.expires_at(time + kMaxAcknowledgementDelay);
   delivery_timer_.async_wait([self = shared_from_this(), outcome](error_code cancelled) {
     if (cancelled || self->is_finished() || self->state_ != State::kAwaitingResponse) return;
-    if (self->connection_->unacknowledged_bytes() > 0) self->finish(outcome, ConnectionReuse::kClose);
+    if (self->connection_->unacknowledged_bytes() == 0) return;
+    self->give_up(outcome, EndReason::kRequestUnconfirmed);
   });
 }
 
@@ -191,7 +224,7 @@
     start_timeout();
   }
   writer_.release_memory();
-  if (const auto send_by = writer_.send_by()) finish_if_undelivered_at(*send_by, Outcome::kTimedOut);
+  if (const auto send_by = writer_.send_by()) give_up_if_undelivered_at(*send_by, Outcome::kTimedOut);
   read_response();
 }
 
@@ -201,6 +234,7 @@
 // with a full head, and some servers stop in the middle of one.
 void UpstreamAttempt::read_response() {
   reader_.reset();
+  slow_response_.reset();
   if (connection_->buffer().size() > 0) return begin_response();
   connection_->socket().async_wait(tcp::socket::wait_read,
                                    [self = shared_from_this(), connection = connection_](error_code error) {
@@ -212,23 +246,31 @@
 
 void UpstreamAttempt::begin_response() {
   first_byte_at_ = Clock::Steady::now();
-  progress_timer_.expires_after(kResponseCompletionTimeout);
+  slow_response_.on_begun(first_byte_at_);
+  check_response_later();
+  read_more();
+}
+
+void UpstreamAttempt::check_response_later() {
+  progress_timer_.expires_after(SlowResponsePolicy::kCheckInterval);
   progress_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-    if (!cancelled && !self->is_finished()) self->on_completion_timeout();
+    if (!cancelled && !self->is_finished()) self->check_response();
   });
-  read_more();
 }
 
-// Streams a response that arrives fast enough to be a large one, and ends any other as a reset. The server
-// may have executed the request in that case: it had started to respond.
-void UpstreamAttempt::on_completion_timeout() {
-  if (reader_.is_streaming() || progress_timer_.expiry() > Clock::Steady::now()) return;
-  if (!reader_.is_making_progress(to_seconds(kResponseCompletionTimeout))) {
-    return finish(Outcome::kReset, ConnectionReuse::kClose);
+// A response that is given up ends as a reset: the server may have executed the request, because it had
+// started to respond.
+void UpstreamAttempt::check_response() {
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  if (reader_.is_streaming() || progress_timer_.expiry() > now) return;
+  switch (slow_response_.check(now, reader_.progress(), callbacks_.may_retry())) {
+    case SlowResponsePolicy::Decision::kWait:
+      return check_response_later();
+    case SlowResponsePolicy::Decision::kStream:
+      return start_streaming();
+    case SlowResponsePolicy::Decision::kGiveUp:
+      return give_up(Outcome::kReset, EndReason::kResponseIncomplete);
   }
-  // The read in flight continues, and its bytes go to the pipe.
-  start_streaming();
-  start_response_silence_timer();
 }
 
 // Each socket operation holds a reference to the connection because it uses the connection's buffer. An
@@ -248,6 +290,7 @@
     return finish(Outcome::kCancelled, ConnectionReuse::kClose);
   }
   reader_.consume_read();
+  slow_response_.on_read(Clock::Steady::now(), reader_.body_bytes());
   if (error && !reader_.is_done()) {
     return finish(ResponseReader::outcome_of_read_error(error), ConnectionReuse::kClose);
   }
@@ -267,13 +310,14 @@
     }
     start_streaming();
   } else if (!reservation_.try_resize(connection_->buffer().capacity() + reader_.memory_bytes())) {
-    finish(Outcome::kUnknown, ConnectionReuse::kClose);
+    give_up(Outcome::kUnknown, EndReason::kMemoryExhausted);
     return false;
   }
   return true;
 }
 
-// Passes the response head to the client and streams the body from here on.
+// Passes the response head to the client and streams the body from here on. A read in flight continues, and
+// its bytes go to the pipe.
 void UpstreamAttempt::start_streaming() {
   cancel_timer(timeout_timer_);
   state_ = State::kStreamingResponse;
@@ -284,6 +328,7 @@
   });
   reservation_.resize(reader_.memory_bytes());
   callbacks_.on_response_started(reader_.head(), reader_.pipe(), elapsed());
+  if (!is_finished()) start_response_silence_timer();
 }
 
 void UpstreamAttempt::wait_for_pipe_reader() {
@@ -316,6 +361,11 @@
   return to_seconds((reader_.is_streaming() ? first_byte_at_ : Clock::Steady::now()) - sent_at_);
 }
 
+void UpstreamAttempt::give_up(Outcome outcome, EndReason reason) {
+  end_reason_ = reason;
+  finish(outcome, ConnectionReuse::kClose);
+}
+
 // Frees the connection before it reports the outcome, so that the next attempt of the decision library can
 // use the connection.
 void UpstreamAttempt::finish(Outcome outcome, ConnectionReuse reuse) {
@@ -339,9 +389,9 @@
     response.body() = reader_.take_body();
   }
   writer_.close_body();
-  const double seconds = elapsed();
+  const AttemptEnd end{outcome, end_reason_, elapsed()};
   const AttemptCallbacks callbacks = std::exchange(callbacks_, {});
-  callbacks.on_ended(outcome, std::move(response), seconds);
+  callbacks.on_ended(end, std::move(response));
 }
 
 }  // namespace nettleyoke::node
--- a/node/upstream/upstream_attempt.h
+++ b/node/upstream/upstream_attempt.h
@@ -13,6 +13,7 @@
 #include "upstream/attempt_types.h"
 #include "upstream/request_writer.h"
 #include "upstream/response_reader.h"
+#include "upstream/slow_response_policy.h"
 #include "upstream/upstream_context.h"
 
 namespace nettleyoke::node {
@@ -35,6 +36,8 @@
   /// Whether the client has closed its connection (see OutgoingRequest::is_abandoned). Only valid before
   /// begin().
   bool is_abandoned() const { return writer_.is_abandoned(); }
+  /// Sets when the time of the request ends, which may be known only after the attempt has started.
+  void set_request_end(Clock::Steady::time_point end);
   /// Sends the request on a connection.
   void begin(std::shared_ptr<ServerConnection> connection);
   /// Ends the attempt in a later handler of the event loop. The attempt leaves the pool's queue at once, and
@@ -45,6 +48,8 @@
   void cancel_undelivered();
   /// Ends the attempt and reports the outcome. Must not be called inside the call that starts the attempt.
   void finish(Outcome outcome, ConnectionReuse reuse);
+  /// Ends the attempt, closes its connection and reports the outcome with a reason.
+  void give_up(Outcome outcome, EndReason reason);
 
   bool has_ended() const { return state_ == State::kEnded; }
   /// Whether the last byte of the request is written: from then on the server may have executed the request.
@@ -61,7 +66,10 @@
   bool is_finished() const { return has_ended() || context_->is_closed; }
 
   void start_timeout();
-  void finish_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome);
+  void set_timeout_at(Clock::Steady::time_point time);
+  void on_timeout();
+  void on_request_end();
+  void give_up_if_undelivered_at(Clock::Steady::time_point time, Outcome outcome);
   void start_response_silence_timer();
   void watch_request_progress(int unacknowledged, Clock::Steady::time_point silent_since);
   void write();
@@ -72,7 +80,8 @@
 
   void read_response();
   void begin_response();
-  void on_completion_timeout();
+  void check_response();
+  void check_response_later();
   void read_more();
   void on_read(boost::system::error_code error);
   bool stream_or_buffer_response();
@@ -86,21 +95,23 @@
   std::shared_ptr<ServerPool> pool_;
   std::shared_ptr<ServerConnection> connection_;
   boost::asio::steady_timer timeout_timer_;
-  // Limits the time from the first byte of the response to its completion, and the silence of the peer during
-  // streaming.
+  // For the next check of a response that has begun, and the silence of the peer during streaming.
   boost::asio::steady_timer progress_timer_;
   State state_ = State::kSending;
   boost::asio::steady_timer delivery_timer_;  // for the acknowledgement of the request
   bool is_finish_scheduled_ = false;          // finish_later() was called: no more of the request is written
   bool is_watching_early_close_ = false;      // for a server that closes before it has the complete request
-  double timeout_ = 0;                        // s
+  EndReason end_reason_ = EndReason::kServer;
+  double timeout_ = 0;                               // s
   Clock::Steady::duration request_silence_limit_{};  // for a server that takes no byte
+  Clock::Steady::time_point request_end_ = Clock::Steady::time_point::max();  // of the request's time
   // The start of the attempt; for a streamed request, the time when its last byte was written.
   Clock::Steady::time_point sent_at_ = Clock::Steady::now();
   Clock::Steady::time_point first_byte_at_;
   MemoryBudget::Reservation reservation_;  // for the serialized request, then for the response
   RequestWriter writer_{reservation_};
   ResponseReader reader_;
+  SlowResponsePolicy slow_response_;
 };
 
 }  // namespace nettleyoke::node
--- a/node/upstream/upstream_client.cpp
+++ b/node/upstream/upstream_client.cpp
@@ -63,6 +63,11 @@
   if (attempt && !attempt->has_ended()) attempt->cancel_undelivered();
 }
 
+void UpstreamClient::set_request_end(const AttemptHandle& handle, Clock::Steady::time_point end) {
+  const std::shared_ptr<UpstreamAttempt> attempt = handle.lock();
+  if (attempt && !attempt->has_ended()) attempt->set_request_end(end);
+}
+
 // At the limit, closes the connection that has been idle the longest over all pools.
 bool UpstreamClient::ensure_capacity() {
   if (context_->connections < context_->limits.max_connections) return true;
--- a/node/upstream/upstream_client.h
+++ b/node/upstream/upstream_client.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "admin/metrics.h"
+#include "clock.h"
 #include "http/memory_budget.h"
 #include "http/message.h"
 #include "upstream/attempt_types.h"
@@ -52,6 +53,8 @@
   /// Ends an attempt and closes its connection. The outcome is Outcome::kCancelled, unless another outcome is
   /// already about to be reported.
   void cancel(const AttemptHandle& handle);
+  /// Sets when the time of the attempt's request ends (see AttemptTimeLimits::request_time).
+  static void set_request_end(const AttemptHandle& handle, Clock::Steady::time_point end);
   /// Cancels an attempt whose result no client waits for, unless its server has received the whole request
   /// (see UpstreamAttempt::cancel_undelivered).
   void cancel_undelivered(const AttemptHandle& handle);
--- a/src/attempt_results.cpp
+++ b/src/attempt_results.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "attempts/attempt_timeout.h"
 #include "attempts/idempotency_rules.h"
 #include "balancer_impl.h"
 
@@ -65,6 +66,7 @@
   AttemptRecord* attempt = request.find_attempt(result.attempt);
   if (attempt == nullptr || !attempt->open) return;
   attempt->open = false;
+  attempt->response_incomplete = result.response_incomplete;
   attempt->may_have_run = !proves_never_ran(result.outcome);
   request.body_consumed |= result.body_consumed;
   remove_in_flight(*attempt);
@@ -86,6 +88,15 @@
   if (request.finished && !request.has_open_attempt()) close(entry);
 }
 
+bool Balancer::Impl::may_retry_incomplete_response(double now, const std::string& id) {
+  const auto entry = requests_.find(id);
+  if (entry == requests_.end()) return false;
+  const RequestState& request = entry->second;
+  if (request.finished || request.had_incomplete_response()) return false;
+  return retry_budget_.allows_retry(now, request) && attempt_timeout(now, request) > 0 &&
+         selector_.has_eligible(now, request);
+}
+
 void Balancer::Impl::learn_from(const RequestState& request, ServerRecord& server,
                                 const AttemptResult& result) {
   if (result.outcome == Outcome::kCancelled || result.outcome == Outcome::kNotSent) return;
--- a/src/attempts/request_state.h
+++ b/src/attempts/request_state.h
@@ -18,7 +18,8 @@
   double sent_at = 0;        ///< Time sent, s; for a body still in progress then, the time of its last byte.
   bool open = true;          ///< It has no result yet.
   bool may_have_run = true;  ///< The server may have executed it.
-  bool in_flight = false;    ///< It counts against the concurrency limits.
+  bool response_incomplete = false;  ///< It was given up because its response was not complete in time.
+  bool in_flight = false;            ///< It counts against the concurrency limits.
   /// Its response has started and was recorded as a success.
   bool success_recorded = false;
 };
@@ -49,6 +50,11 @@
                        [](const AttemptRecord& attempt) { return attempt.may_have_run; });
   }
 
+  [[nodiscard]] bool had_incomplete_response() const {
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [](const AttemptRecord& attempt) { return attempt.response_incomplete; });
+  }
+
   [[nodiscard]] bool has_tried(std::size_t server) const {
     return std::any_of(attempts.begin(), attempts.end(),
                        [=](const AttemptRecord& attempt) { return attempt.server == server; });
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -77,6 +77,10 @@
   impl_->handle(now, event, actions);
 }
 
+bool Balancer::may_retry_incomplete_response(double now, const std::string& id) {
+  return impl_->may_retry_incomplete_response(now, id);
+}
+
 std::size_t Balancer::server_count() const { return impl_->server_count(); }
 
 std::size_t Balancer::unavailable_server_count(double now) const {
--- a/src/balancer_impl.h
+++ b/src/balancer_impl.h
@@ -32,6 +32,7 @@
 
   void handle(double now, const Event& event, std::vector<Action>& actions);
 
+  [[nodiscard]] bool may_retry_incomplete_response(double now, const std::string& id);
   [[nodiscard]] std::size_t server_count() const { return registry_.tracked_count(); }
   [[nodiscard]] std::size_t unavailable_server_count(double now) const {
     return registry_.unavailable_count(now);
--- a/src/selection/endpoint_selector.h
+++ b/src/selection/endpoint_selector.h
@@ -36,6 +36,10 @@
   /// Adds the latency of an attempt, s, to the mean over all servers and classes.
   void record_latency(double latency_s);
 
+  /// Whether any endpoint could get an attempt now. Draws no random number.
+  [[nodiscard]] bool has_eligible(double now, const RequestState& request) {
+    return find_eligible(now, request);
+  }
   /// Picks the server for the request's next attempt.
   /// @return Its index in the registry; empty if the tier is at its limit or no server is eligible.
   [[nodiscard]] std::optional<std::size_t> pick_endpoint(double now, const RequestState& request);
--- a/tests/node/slow_server_test.cpp
+++ b/tests/node/slow_server_test.cpp
@@ -123,6 +123,36 @@
   }
 }
 
+// Prevents this failure: a response that stops is passed on without an end, and its client has no final
+// answer half a second after its time (lost).
+TEST(StoppedResponse, EndsInTheTimeOfTheRequest) {
+  int count = 0;
+  for (const Framing framing : {Framing::kChunked, Framing::kClose}) {
+    for (const std::size_t body_bytes : {std::size_t{0}, std::size_t{5}, std::size_t{30000}}) {
+      OneServerDeployment deployment([=](Connection& connection, const std::string&) {
+        const std::string body = large_body(body_bytes);
+        connection.write(response_head(framing, 0) +
+                         (framing == Framing::kChunked && !body.empty() ? http_chunk(body) : body));
+        while (connection.receive_more()) {  // until the node closes the connection
+        }
+        return false;
+      });
+      Connection client = deployment.client();
+      RequestBuilder request = request_of_class("close", "700");
+      request.id = "s" + std::to_string(++count);
+      client.write(request.text());
+      const auto sent_at = std::chrono::steady_clock::now();
+      const std::string response = client.read_to_end();
+      EXPECT_LT(std::chrono::steady_clock::now() - sent_at, 700ms + kAnswerSlack)
+          << deployment.program->log();
+      if (status_of(response) != 502) {
+        EXPECT_EQ(field_of(response, "Transfer-Encoding"), "chunked") << response.substr(0, 200);
+        EXPECT_EQ(dechunked(body_of(response)), std::nullopt) << "it must not look complete";
+      }
+    }
+  }
+}
+
 // A server that reads a request at a constant rate and never responds. Its socket holds little, so that the
 // bytes that it has not read stay on the node's side.
 class SlowReader {
--- a/tests/unit/balancer_body_test.cpp
+++ b/tests/unit/balancer_body_test.cpp
@@ -64,5 +64,30 @@
   EXPECT_EQ(actions_of<Reject>(actions).size(), 1U) << "the attempt never ran, so a client retry is harmless";
 }
 
+bool may_retry_after_the_first_attempt(const RequestClass& request_class, int servers) {
+  ReplicaUnderTest replica(basic_settings(request_class));
+  replica.at(0, members(servers));
+  EXPECT_EQ(actions_of<StartAttempt>(replica.request("r")).size(), 1U);
+  return replica.balancer.may_retry_incomplete_response(0.3, "r");
+}
+
+TEST(IncompleteResponse, IsGivenUpOnlyWhereTheRequestWouldBeRetried) {
+  EXPECT_TRUE(may_retry_after_the_first_attempt(class_of(Idempotency::kIdempotent), 2));
+  EXPECT_TRUE(may_retry_after_the_first_attempt(class_of(Idempotency::kIdempotencyKey, DedupScope::kAll), 2));
+  EXPECT_FALSE(may_retry_after_the_first_attempt(class_of(Idempotency::kNonIdempotent), 2));
+}
+
+TEST(IncompleteResponse, OfASecondServerIsWaitedFor) {
+  ReplicaUnderTest replica(basic_settings());
+  replica.at(0, members(3));
+  replica.request("r");
+  replica.now = 0.3;
+  AttemptResult given_up{"r", 0, Outcome::kReset, 0.3};
+  given_up.response_incomplete = true;
+  ASSERT_EQ(actions_of<StartAttempt>(replica.at(0.3, given_up)).size(), 1U);
+  EXPECT_FALSE(replica.balancer.may_retry_incomplete_response(0.6, "r"));
+  EXPECT_FALSE(replica.balancer.may_retry_incomplete_response(0.6, "unknown"));
+}
+
 }  // namespace
 }  // namespace nettleyoke
