Read large requests on while their server is slow, and count their time from the client

Cause: the node stopped to read from the client as soon as 32 KiB waited for the server. The client's last byte stayed in the operating systems, and the request's time, which counts from that byte, began only when the server had taken nearly all. An attempt's time-out even began with the last byte written to the server.

Change: the pipe of an upload grows while less than half of the memory for messages is in use, so that the node sees the last byte when it arrives. Beyond that memory UploadClock counts the time from the last moment at which the body was certainly incomplete, and the request is rejected then. A server that reads nothing is given up after 3 s as before, no longer after the time of the request, which the node now knows.

--- a/node/clock.h
+++ b/node/clock.h
@@ -16,9 +16,13 @@
   using Steady = std::chrono::steady_clock;
 
   /// Seconds since the node started.
-  double now() const { return std::chrono::duration<double>(Steady::now() - start_).count(); }
+  double now() const { return to_seconds(Steady::now()); }
   /// The steady-clock time that is `seconds` after the node started.
   Steady::time_point to_time_point(double seconds) const { return start_ + to_duration(seconds); }
+  /// The reverse of to_time_point().
+  double to_seconds(Steady::time_point time) const {
+    return std::chrono::duration<double>(time - start_).count();
+  }
   /// Converts seconds to a duration of the steady clock.
   static Steady::duration to_duration(double seconds) {
     return std::chrono::duration_cast<Steady::duration>(std::chrono::duration<double>(seconds));
--- a/node/dispatch/dispatcher.cpp
+++ b/node/dispatch/dispatcher.cpp
@@ -110,7 +110,7 @@
   InFlightRequest accepted(std::move(message), std::move(callback), event.request_class, event.time_left,
                            clock_.now());
   const auto entry = in_flight_requests_.try_emplace(event.id, std::move(accepted)).first;
-  if (!event.body_in_progress) start_deadline(entry->first, entry->second);
+  if (!event.body_in_progress) start_deadline(entry->first, entry->second, clock_.now());
   event.time_left = std::max(0.0, event.time_left - kMargin.of(event.time_left));
   decision_loop_.enqueue_event(std::move(event));
 }
@@ -125,8 +125,8 @@
   return request == nullptr || request->is_completed() ? nullptr : request;
 }
 
-void Dispatcher::start_deadline(const std::string& id, InFlightRequest& request) {
-  set_deadline(id, request, std::min(clock_.now() + request.time_left(), answers_due_at_));
+void Dispatcher::start_deadline(const std::string& id, InFlightRequest& request, double last_byte_at) {
+  set_deadline(id, request, std::min(last_byte_at + request.time_left(), answers_due_at_));
 }
 
 void Dispatcher::set_deadline(const std::string& id, InFlightRequest& request, double client_deadline) {
@@ -164,15 +164,17 @@
   for (const auto& [id, request] : in_flight_requests_) {
     if (!request.is_completed() && !request.has_deadline()) ids.push_back(id);
   }
-  for (const std::string& id : ids) {
-    answer_and_cancel(id, {FinalAnswer::Kind::kRejected, overflow_retry_after_, {}, nullptr});
-  }
+  for (const std::string& id : ids) reject_incomplete(id);
+}
+
+void Dispatcher::reject_incomplete(const std::string& id) {
+  answer_and_cancel(id, {FinalAnswer::Kind::kRejected, overflow_retry_after_, {}, nullptr});
 }
 
-void Dispatcher::on_body_complete(const std::string& id) {
+void Dispatcher::on_body_complete(const std::string& id, Clock::Steady::time_point last_byte_at) {
   InFlightRequest* const request = find_unanswered(id);
   if (request == nullptr) return;
-  start_deadline(id, *request);
+  start_deadline(id, *request, clock_.to_seconds(last_byte_at));
   decision_loop_.enqueue_event(RequestBodyComplete{id});
 }
 
--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -60,8 +60,11 @@
   /// Accepts a request whose client gives up `event.time_left` s after the request's last byte. The callback
   /// may run within this call.
   void accept(Request event, std::shared_ptr<const OutgoingRequest> message, AnswerCallback callback);
-  /// The last byte of a request body that was still arriving has arrived. The request's time starts now.
-  void on_body_complete(const std::string& id);
+  /// The last byte of a request body that was still arriving has arrived.
+  /// @param last_byte_at when the request's time starts
+  void on_body_complete(const std::string& id, Clock::Steady::time_point last_byte_at);
+  /// Rejects a request whose body is not complete and whose time may be over nevertheless.
+  void reject_incomplete(const std::string& id);
   /// Whether the request with this id has no final answer yet or still has attempts in flight.
   bool is_open(const std::string& id) const { return in_flight_requests_.contains(id); }
   void on_client_disconnected(const std::string& id);
@@ -82,7 +85,7 @@
 
   [[nodiscard]] InFlightRequest* find(const std::string& id);
   [[nodiscard]] InFlightRequest* find_unanswered(const std::string& id);
-  void start_deadline(const std::string& id, InFlightRequest& request);
+  void start_deadline(const std::string& id, InFlightRequest& request, double last_byte_at);
   void set_deadline(const std::string& id, InFlightRequest& request, double client_deadline);
   void on_fallback_timer(const std::string& id);
   void answer_and_cancel(const std::string& id, FinalAnswer&& answer);
--- a/node/downstream/client_connection.cpp
+++ b/node/downstream/client_connection.cpp
@@ -163,6 +163,9 @@
   }
   // Bytes that arrived just before the deadline still count: they are read next.
   if (state_ == State::kReading && has_unread_bytes()) return set_deadline(kLingerTimeout);
+  if (state_ == State::kAwaitingFinalAnswer && upload_clock_.is_blocked()) {
+    return context_->dispatcher.reject_incomplete(request_id_);
+  }
   if (state_ != State::kAwaitingFinalAnswer || reader_.is_uploading()) close();
 }
 
@@ -197,6 +200,9 @@
   // Until then they are neither in the socket nor in the reader, and without kHasBytes the connection would
   // look idle.
   pending_read_ = has_unread_bytes() ? PendingRead::kHasBytes : PendingRead::kWaiting;
+  if (pending_read_ == PendingRead::kWaiting && reader_.is_uploading()) {
+    upload_clock_.on_drained(Clock::Steady::now());
+  }
   socket_.async_read_some(reader_.receive_buffer(),
                           [self = shared_from_this()](error_code error, std::size_t size) {
                             self->pending_read_ = PendingRead::kNone;
@@ -325,13 +331,17 @@
 }
 
 // Suspends the read deadline until the pipe has space: the server reads more slowly than the client sends,
-// and the client must not time out because of that.
+// and the client must not time out because of that. It is owed an answer in time if it may have sent all.
 void ClientConnection::wait_for_upload_space() {
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  upload_clock_.on_blocked(now, reader_.remaining_body_bytes());
   cancel_timer(deadline_);
+  if (const auto due_at = upload_clock_.answer_due_at()) set_deadline(*due_at - now);
   reader_.upload()->when_writable([weak = weak_from_this()] {
     const auto self = weak.lock();
     if (!self || self->context_ == nullptr || !self->reader_.is_uploading()) return;
     if (self->reader_.upload()->is_reader_closed()) return;  // the response is about to begin
+    self->upload_clock_.on_unblocked();
     self->set_deadline(kMaxBodyPause);
     self->parse_read_ahead();
     self->read();
@@ -343,7 +353,8 @@
   cancel_timer(deadline_);
   reader_.finish_upload();
   accounting_.start(context_->metrics);
-  context_->dispatcher.on_body_complete(request_id_);
+  context_->dispatcher.on_body_complete(request_id_,
+                                        upload_clock_.last_byte_written_at(Clock::Steady::now()));
 }
 
 }  // namespace nettleyoke::node
--- a/node/downstream/client_connection.h
+++ b/node/downstream/client_connection.h
@@ -18,6 +18,7 @@
 #include "downstream/request_accounting.h"
 #include "downstream/request_reader.h"
 #include "downstream/response_writer.h"
+#include "downstream/upload_clock.h"
 
 namespace nettleyoke::node {
 
@@ -137,6 +138,7 @@
   bool is_pause_due_ = false;           // pause reading after the response
   bool is_request_incomplete_ = false;  // the response began before the request's last byte
   RequestReader reader_;
+  UploadClock upload_clock_;  // of the streamed body
   ResponseWriter writer_;
   RequestAccounting accounting_;
   Evictions::Entry eviction_entry_;
--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/deadline_margin.h"
 #include "downstream/client_connection.h"
 #include "downstream/connection_admission.h"
 #include "downstream/connection_timeouts.h"
@@ -83,6 +84,8 @@
     return !self || self->is_abandoned();
   };
   enter(State::kAwaitingFinalAnswer);
+  const double time_limit = event.time_left - DeadlineMargin{}.of(event.time_left);
+  if (reader_.is_uploading()) upload_clock_.start(Clock::Steady::now(), Clock::to_duration(time_limit));
   eviction_entry_.remove();
   if (!reader_.is_uploading()) cancel_timer(deadline_);
   context_->dispatcher.accept(std::move(event), {forwarded, &forwarded->outgoing},
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -135,7 +135,13 @@
 void RequestReader::start_upload(boost::asio::io_context& io) {
   const auto length = parser_->content_length();
   upload_ =
-      std::make_shared<BodyPipe>(io, budget_, length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+      std::make_shared<BodyPipe>(io, budget_, length ? std::optional<std::uint64_t>(*length) : std::nullopt,
+                                 BodyPipe::Growth::kWithinBudget);
+}
+
+std::optional<std::uint64_t> RequestReader::remaining_body_bytes() const {
+  const auto remaining = parser_->content_length_remaining();
+  return remaining ? std::optional<std::uint64_t>(*remaining) : std::nullopt;
 }
 
 HttpRequest RequestReader::take_request() {
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -98,6 +98,8 @@
   [[nodiscard]] BodyPlacement place_body();
   /// Streams the body from here on. The part that was buffered stays with the request.
   void start_upload(boost::asio::io_context& io);
+  /// Bytes of the body that have not been parsed, if its length is known.
+  std::optional<std::uint64_t> remaining_body_bytes() const;
   /// The pipe for the remaining body, until the body is complete; null if none is being streamed.
   const std::shared_ptr<BodyPipe>& upload() const { return upload_; }
   bool is_uploading() const { return upload_ != nullptr; }
--- a/node/http/body_pipe.h
+++ b/node/http/body_pipe.h
@@ -1,11 +1,13 @@
 /// @file
-/// Passes a message body from one connection to another, a chunk at a time. Owns the bytes that are written
+/// Passes a message body from one connection to another, a piece at a time. Owns the bytes that are written
 /// and not yet read, and reserves memory for them; never uses a socket.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -23,10 +25,15 @@
   using Callback = std::function<void()>;
   /// Once the pipe holds this many bytes, the writer has to wait. A single write may exceed it.
   static constexpr std::size_t kCapacity = std::size_t{32} * 1024;
+  /// A pipe that may grow takes more than that while less than this fraction of the memory budget is in use.
+  static constexpr double kGrowthMemoryFraction = 0.5;
+
+  enum class Growth { kFixed, kWithinBudget };
 
   /// @param length  bytes of the complete body, if known
-  BodyPipe(boost::asio::io_context& io, MemoryBudget& budget, std::optional<std::uint64_t> length)
-      : length_(length), io_(io), reservation_(budget) {}
+  BodyPipe(boost::asio::io_context& io, MemoryBudget& budget, std::optional<std::uint64_t> length,
+           Growth growth = Growth::kFixed)
+      : length_(length), io_(io), budget_(budget), growth_(growth), reservation_(budget) {}
   BodyPipe(const BodyPipe&) = delete;
   BodyPipe& operator=(const BodyPipe&) = delete;
 
@@ -38,13 +45,23 @@
 
   /// Adds bytes, even beyond the capacity. Drops them if either side has ended the pipe.
   void write(const char* bytes, std::size_t size) {
-    if (has_ended()) return;
-    buffer_.append(bytes, size);
-    reservation_.resize(buffer_.capacity());
+    if (size == 0 || has_ended()) return;
+    if (pieces_.empty() || pieces_.back().size() >= kCapacity) {
+      memory_bytes_ += pieces_.emplace_back().capacity();
+    }
+    std::string& last = pieces_.back();
+    memory_bytes_ -= last.capacity();
+    last.append(bytes, size);
+    memory_bytes_ += last.capacity();
+    size_ += size;
+    reservation_.resize(memory_bytes_);
     post(on_readable_);
   }
   /// Whether the pipe is below its capacity.
-  bool is_writable() const { return buffer_.size() < kCapacity; }
+  bool is_writable() const {
+    return size_ < kCapacity ||
+           (growth_ == Growth::kWithinBudget && budget_.is_below_fraction(kGrowthMemoryFraction));
+  }
   /// Whether the reader has called close_reader() before the writer ended the body.
   bool is_reader_closed() const { return end_ == End::kReaderClosed; }
   /// Calls `callback` once, when the pipe is writable or its reader is closed.
@@ -63,32 +80,37 @@
   /// @name For the reader
   /// @{
 
-  /// Removes and returns all bytes in the pipe; empty if there are none at present.
+  /// Removes and returns the next bytes in the pipe, at least all if there are fewer than kCapacity; empty if
+  /// there are none at present.
   std::string take() {
-    has_been_read_ |= !buffer_.empty();
-    std::string taken = std::exchange(buffer_, {});
-    reservation_.resize(0);
+    if (pieces_.empty()) return {};
+    has_been_read_ = true;
+    std::string taken = std::move(pieces_.front());
+    pieces_.pop_front();
+    memory_bytes_ -= taken.capacity();
+    size_ -= taken.size();
+    reservation_.resize(memory_bytes_);
     post(on_writable_);
     return taken;
   }
   /// Whether the reader has taken a part of the body.
   bool has_been_read() const { return has_been_read_; }
   /// Whether the writer has finished the body and the reader has taken all of it.
-  bool is_complete() const { return end_ == End::kFinished && buffer_.empty(); }
+  bool is_complete() const { return end_ == End::kFinished && pieces_.empty(); }
   /// Whether the writer ended the body before it was complete.
   bool is_aborted() const { return end_ == End::kAborted; }
   /// Calls `callback` once, when the pipe holds bytes or the writer has finished or aborted the body.
   void when_readable(Callback callback) {
     on_readable_ = std::move(callback);
-    if (!buffer_.empty() || end_ == End::kFinished || end_ == End::kAborted) post(on_readable_);
+    if (!pieces_.empty() || end_ == End::kFinished || end_ == End::kAborted) post(on_readable_);
   }
   /// Ends the pipe from the reader's side: drops the remaining bytes and notifies the writer.
   void close_reader() {
     on_readable_ = nullptr;
     if (has_ended()) return;
     end_ = End::kReaderClosed;
-    buffer_.clear();
-    buffer_.shrink_to_fit();
+    pieces_.clear();
+    size_ = memory_bytes_ = 0;
     reservation_.resize(0);
     post(on_writable_);
     post(on_reader_closed_);
@@ -114,8 +136,12 @@
 
   std::optional<std::uint64_t> length_;
   boost::asio::io_context& io_;
+  MemoryBudget& budget_;
+  Growth growth_;
   MemoryBudget::Reservation reservation_;
-  std::string buffer_;
+  std::deque<std::string> pieces_;  // none is empty
+  std::size_t size_ = 0;            // bytes in `pieces_`
+  std::size_t memory_bytes_ = 0;    // allocated by `pieces_`
   Callback on_writable_;
   Callback on_readable_;
   Callback on_reader_closed_;
--- a/node/upstream/request_writer.cpp
+++ b/node/upstream/request_writer.cpp
@@ -21,7 +21,7 @@
 }
 
 // Encodes a piece of the body for the wire: as a chunk if the body has no known length.
-std::string to_wire(const std::string& piece, const std::shared_ptr<BodyPipe>& remaining_body) {
+std::string to_wire(std::string piece, const std::shared_ptr<BodyPipe>& remaining_body) {
   if (!is_chunked(remaining_body) || piece.empty()) return piece;
   std::ostringstream out;
   out << std::hex << piece.size() << "\r\n" << piece << "\r\n";
@@ -104,11 +104,12 @@
 // Loads the bytes of the body that have arrived into `wire_bytes_`. Returns false if there is nothing to
 // write yet.
 bool RequestWriter::load_next_piece() {
-  const std::string piece = remaining_body_->take();
+  std::string piece = remaining_body_->take();
+  const bool has_bytes = !piece.empty();
   written_ = 0;
-  wire_bytes_ = to_wire(piece, remaining_body_);
+  wire_bytes_ = to_wire(std::move(piece), remaining_body_);
   reservation_.resize(wire_bytes_.capacity());
-  if (!piece.empty()) return true;
+  if (has_bytes) return true;
   if (!remaining_body_->is_complete()) return false;
   if (is_chunked(remaining_body_)) wire_bytes_ = kLastChunk;
   remaining_body_.reset();
--- a/node/upstream/upstream_attempt.cpp
+++ b/node/upstream/upstream_attempt.cpp
@@ -19,7 +19,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-// Time limit for a server that reads no byte of a large request; a request that allows less time shortens it.
+// Time limit for a server that reads no byte of a large request.
 constexpr std::chrono::seconds kRequestSilenceTimeout{3};
 // How often within its time limit a server that reads a large request is checked for progress.
 constexpr int kRequestProgressChecks = 4;
@@ -50,9 +50,8 @@
   writer_.assign(request);
   if (is_abandoned()) return finish_later(Outcome::kCancelled);
   const Clock::Steady::time_point now = Clock::Steady::now();
-  const Clock::Steady::duration attempt_time = Clock::to_duration(std::max(limits.timeout, limits.deadline));
-  const Clock::Steady::time_point deadline = now + attempt_time;
-  request_silence_limit_ = std::min<Clock::Steady::duration>(kRequestSilenceTimeout, attempt_time);
+  const Clock::Steady::time_point deadline =
+      now + Clock::to_duration(std::max(limits.timeout, limits.deadline));
   if (std::isfinite(limits.request_time)) request_end_ = now + Clock::to_duration(limits.request_time);
   std::optional<Clock::Steady::time_point> send_by;
   if (limits.send_within) send_by = now + Clock::to_duration(*limits.send_within);
@@ -135,13 +134,13 @@
 // Ends the attempt if the server's system takes no byte of a streamed request for too long. A socket becomes
 // writable only when much of its buffer is free, which may take a slow server longer.
 void UpstreamAttempt::watch_request_progress(int unacknowledged, Clock::Steady::time_point silent_since) {
-  progress_timer_.expires_after(request_silence_limit_ / kRequestProgressChecks);
+  progress_timer_.expires_after(Clock::Steady::duration(kRequestSilenceTimeout) / kRequestProgressChecks);
   progress_timer_.async_wait([self = shared_from_this(), unacknowledged, silent_since](error_code cancelled) {
     const Clock::Steady::time_point now = Clock::Steady::now();
     if (cancelled || self->is_finished() || self->progress_timer_.expiry() > now) return;
     const int remaining = self->connection_->unacknowledged_bytes();
     if (remaining < unacknowledged) return self->watch_request_progress(remaining, now);
-    if (now < silent_since + self->request_silence_limit_) {
+    if (now < silent_since + kRequestSilenceTimeout) {
       return self->watch_request_progress(unacknowledged, silent_since);
     }
     self->give_up(Outcome::kConnectFailed, EndReason::kRequestNotRead);
@@ -202,7 +201,6 @@
 }
 
 void UpstreamAttempt::wait_for_socket_writable() {
-  // The client may have sent its last byte already: while the server does not read, nor does the node.
   if (writer_.is_streamed()) {
     watch_request_progress(connection_->unacknowledged_bytes(), Clock::Steady::now());
   }
--- a/node/upstream/upstream_attempt.h
+++ b/node/upstream/upstream_attempt.h
@@ -102,8 +102,7 @@
   bool is_finish_scheduled_ = false;          // finish_later() was called: no more of the request is written
   bool is_watching_early_close_ = false;      // for a server that closes before it has the complete request
   EndReason end_reason_ = EndReason::kServer;
-  double timeout_ = 0;                               // s
-  Clock::Steady::duration request_silence_limit_{};  // for a server that takes no byte
+  double timeout_ = 0;                                                        // s
   Clock::Steady::time_point request_end_ = Clock::Steady::time_point::max();  // of the request's time
   // The start of the attempt; for a streamed request, the time when its last byte was written.
   Clock::Steady::time_point sent_at_ = Clock::Steady::now();
