--- a/tests/node/harness/connection.h
+++ b/tests/node/harness/connection.h
@@ -61,8 +61,8 @@
     }
     return true;
   }
-  /// Writes `text` until all of it is sent or the socket accepts no more bytes for a while, because the peer has
-  /// stopped reading.
+  /// Writes `text` until all of it is sent or the socket accepts no more bytes for a while, because the peer
+  /// has stopped reading.
   void write_until_blocked(const std::string& text, int wait_milliseconds = 500) {
     for (std::size_t written = 0; written < text.size();) {
       const ssize_t sent =
--- a/tests/node/takeover_test.cpp
+++ b/tests/node/takeover_test.cpp
@@ -4,38 +4,15 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <filesystem>
 #include <fstream>
 
 #include "admin_harness.h"
+#include "harness/platform.h"
 #include "node_harness.h"
 
 namespace nettleyoke::node {
 namespace {
 
-// Stands in for the platform, which holds the listening socket for clients and the directory of shared state.
-struct Platform {
-  Platform() : listener(new_tcp_socket()) {
-    static std::atomic<int> count = 0;
-    directory = testing::TempDir() + "/shared_" + std::to_string(getpid()) + "_" + std::to_string(++count);
-    std::filesystem::create_directory(directory);
-    EXPECT_GT(listen_on_loopback(listener, 0, 128), 0);
-  }
-  ~Platform() { std::filesystem::remove_all(directory); }
-  Platform(const Platform&) = delete;
-  Platform& operator=(const Platform&) = delete;
-  StartOptions start_options() const {
-    StartOptions options = options_with_inherited_listener(listener);
-    options.environment["TMPDIR"] = directory;
-    return options;
-  }
-  // The name must not change, because processes of an older and a newer build share this file.
-  std::string disabled_servers_path() const { return directory + "/thymewood-disabled.json"; }
-  FileDescriptor listener;
-  std::string directory;
-};
-
 TEST(Takeover, SecondProcessTakesOverWithoutLosingRequests) {
   Gate gate;
   FakeServer server([&](Connection& connection, const std::string& request) {
