Keep requests of clients that left from being retried or sent again under their id

Callers saw that an unsafe or keyed id ran twice when it came again after its client had left, in the same process or at the other one of a takeover, and that a request was retried 0.1 s and more after its client had left with much unread behind it.

Causes: a request was forgotten once its attempts had ended, also where its client had no answer; two processes of a node shared nothing of it. The end of a connection behind more than 20 KiB of pipelined requests was not read while a request was open.

The node reads up to 256 KiB ahead while half of the memory for messages is free; where the end of the connection may be hidden nevertheless, no attempt begins later than 0.1 s after the request was read.

--- a/node/dispatch/dispatcher.cpp
+++ b/node/dispatch/dispatcher.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
-                       std::size_t max_open_requests, UpstreamClient& upstream,
+                       std::size_t max_open_requests, UpstreamClient& upstream, SentRequests& sent_requests,
                        std::function<void()> start_watch)
     : io_(io),
       clock_(clock),
@@ -31,6 +31,7 @@
       max_open_requests_(max_open_requests),
       overflow_retry_after_(settings.max_retry_after * kOverflowRetryAfterFraction),
       upstream_(upstream),
+      sent_requests_(sent_requests),
       start_watch_(std::move(start_watch)),
       rewatch_timer_(io),
       answers_due_timer_(io),
@@ -222,10 +223,13 @@
   erase_if_settled(id);
 }
 
-// A request stays in the table until it has its final answer and no attempts in flight.
+// A request stays in the table until it has its final answer and no attempts in flight. One that has not run
+// may come again.
 void Dispatcher::erase_if_settled(const std::string& id) {
   const auto entry = in_flight_requests_.find(id);
   if (entry == in_flight_requests_.end() || !entry->second.is_settled()) return;
+  const InFlightRequest& request = entry->second;
+  if (!request.is_idempotent() && !request.may_have_run()) sent_requests_.remove(id);
   request_log_.write(id, entry->second.history(), clock_.now());
   in_flight_requests_.erase(entry);
 }
@@ -291,6 +295,7 @@
   const double request_time = request->attempts_end_at() - clock_.now();
   // With a timeout of 0, an attempt started after the final answer is never sent.
   const double timeout = request->is_completed() ? 0 : bounded(action.timeout);
+  if (!request->is_idempotent()) sent_requests_.add(action.id, Clock::Steady::now());
   const std::size_t attempt = request->add_attempt(action.server);
   request->set_attempt_handle(
       attempt, upstream_.start_attempt(action.server, request->message(),
--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -25,6 +25,7 @@
 #include "dispatch/rewatch_pauses.h"
 #include "http/message.h"
 #include "nettleyoke/balancer.h"
+#include "takeover/sent_requests.h"
 #include "upstream/upstream_client.h"
 
 namespace nettleyoke::node {
@@ -41,7 +42,8 @@
   /// @param start_watch polls discovery or opens a watch
   /// @throws std::invalid_argument if the settings are invalid
   Dispatcher(boost::asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
-             std::size_t max_open_requests, UpstreamClient& upstream, std::function<void()> start_watch);
+             std::size_t max_open_requests, UpstreamClient& upstream, SentRequests& sent_requests,
+             std::function<void()> start_watch);
 
   /// Applies the initial endpoint list unless it is empty, then starts the decision library. Opens the first
   /// watch if discovery pushes lists.
@@ -68,6 +70,13 @@
   /// Whether the request with this id has no final answer yet or still has attempts in flight.
   bool is_open(const std::string& id) const { return in_flight_requests_.contains(id); }
   void on_client_disconnected(const std::string& id);
+  /// Whether a request with this id may have run before and its client may not have got the answer. The id
+  /// must not be sent again unless the request is idempotent.
+  [[nodiscard]] bool may_have_run_before(const std::string& id) {
+    return sent_requests_.contains(id, Clock::Steady::now());
+  }
+  /// The client has the answer to the request with this id.
+  void on_answer_received(const std::string& id) { sent_requests_.remove(id); }
   /// Called when the process is to end: every open request and every request accepted later gets its final
   /// answer within these limits.
   void answer_all_within(const ShutdownLimits& limits);
@@ -121,6 +130,7 @@
   std::size_t max_open_requests_;
   double overflow_retry_after_;  // s; for requests beyond max_open_requests_
   UpstreamClient& upstream_;
+  SentRequests& sent_requests_;
   std::function<void()> start_watch_;
   std::unordered_map<std::string, InFlightRequest> in_flight_requests_;
   MembershipTracker membership_;
--- a/node/dispatch/in_flight_request.cpp
+++ b/node/dispatch/in_flight_request.cpp
@@ -42,6 +42,9 @@
 }
 
 void InFlightRequest::record_attempt(std::size_t number, const AttemptEnd& end) {
+  const bool never_ran = end.outcome == Outcome::kRejected || end.outcome == Outcome::kConnectFailed ||
+                         end.outcome == Outcome::kNotSent;
+  may_have_run_ |= end.was_sent && !never_ran;
   history_.add_attempt(attempts_[number].server, end);
 }
 
--- a/node/dispatch/in_flight_request.h
+++ b/node/dispatch/in_flight_request.h
@@ -35,6 +35,8 @@
   const std::shared_ptr<const OutgoingRequest>& message() const { return message_; }
   const RequestHistory& history() const { return history_; }
   double time_left() const { return time_left_; }
+  /// Whether the request may run more than once; each class that allows this uses GET, and no other does.
+  bool is_idempotent() const { return message_->request.method() == boost::beast::http::verb::get; }
 
   /// Whether the final answer has been given, or the client has disconnected.
   bool is_completed() const { return !callback_; }
@@ -63,6 +65,8 @@
   void close_attempt(std::size_t number) { attempts_[number].is_open = false; }
   /// Adds an attempt that has ended to the history.
   void record_attempt(std::size_t number, const AttemptEnd& end);
+  /// Whether an attempt that has ended may have run.
+  bool may_have_run() const { return may_have_run_; }
   const std::vector<Attempt>& attempts() const { return attempts_; }
 
   /// Gives the final answer. To be called at most once.
@@ -80,6 +84,7 @@
   double attempts_end_at_ = std::numeric_limits<double>::infinity();
   std::unique_ptr<boost::asio::steady_timer> fallback_timer_;  // null while there is no deadline
   std::vector<Attempt> attempts_;
+  bool may_have_run_ = false;
   RequestHistory history_;
 };
 
--- a/node/downstream/client_connection.cpp
+++ b/node/downstream/client_connection.cpp
@@ -79,6 +79,7 @@
 void ClientConnection::close() {
   if (state_ == State::kClosed) return;
   const bool is_final_answer_due = state_ == State::kAwaitingFinalAnswer;
+  confirm_answer_at_close(state_);
   enter(State::kClosed);
   eviction_entry_.remove();
   cancel_timer(deadline_);
@@ -105,6 +106,18 @@
   writer_.close_source();
 }
 
+void ClientConnection::confirm_answer() {
+  if (std::exchange(is_answer_unconfirmed_, false)) context_->dispatcher.on_answer_received(request_id_);
+}
+
+// Without an error, the client's system has the whole answer once it has acknowledged all bytes.
+void ClientConnection::confirm_answer_at_close(State last_state) {
+  const bool is_answer_written = last_state != State::kAwaitingFinalAnswer && last_state != State::kWriting;
+  if (context_ != nullptr && is_answer_written && !is_reset_ && unacknowledged_bytes(socket_) == 0) {
+    confirm_answer();
+  }
+}
+
 bool ClientConnection::is_quiet_for(Clock::Steady::duration period) const {
   return !reader_.has_begun() && Clock::Steady::now() - quiet_since_ >= period;
 }
@@ -215,6 +228,7 @@
   // A client that closes its sending side counts as disconnected, although HTTP lets it still read responses.
   if (error) {
     is_disconnected_ = true;
+    is_reset_ = error != asio::error::eof;
     if (state_ != State::kWriting || writer_.is_relaying()) close();
     return;
   }
@@ -250,12 +264,20 @@
   return ::poll(&socket_state, 1, 0) > 0 && (socket_state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+// The end of the connection is behind bytes for which there is no memory, so that the node can't tell whether
+// the client is still there. Only clients that send many requests ahead bring this about.
+bool ClientConnection::is_disconnect_hidden() {
+  // The client was there when it took the answer to the request before this one.
+  if (Clock::Steady::now() < forwarded_at_ + kDisconnectPollInterval) return false;
+  return !reader_.is_uploading() && !reader_.has_room_for_read() && has_unread_bytes();
+}
+
 // A client may have disconnected although its request was just read: the bytes are read before the end of the
 // stream, and they may have waited in the listener's queue while there was no capacity, or in a delayed event
 // loop. Forwarding such a request would be useless work for a server.
 bool ClientConnection::is_abandoned() {
   if (state_ != State::kAwaitingFinalAnswer) return true;
-  if (!has_disconnected()) return false;
+  if (!has_disconnected()) return is_disconnect_hidden();
   asio::post(socket_.get_executor(), [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self && self->state_ == State::kAwaitingFinalAnswer) self->close();
@@ -292,6 +314,7 @@
 
 // The deadline of the first request is set when the connection is accepted and stays as it is.
 void ClientConnection::on_request_begun() {
+  confirm_answer();
   if (!has_sent_valid_request_) return;
   eviction_entry_.remove();
   set_deadline(kRequestHeadTimeout);
--- a/node/downstream/client_connection.h
+++ b/node/downstream/client_connection.h
@@ -86,6 +86,8 @@
   void set_deadline(Clock::Steady::duration from_now);
   void on_deadline();
   void abort_bodies();
+  void confirm_answer();
+  void confirm_answer_at_close(State last_state);
 
   // Reading.
   void start_next_request();
@@ -95,6 +97,7 @@
   void skip_lingering_bytes(std::size_t size);
   void poll_disconnect();
   bool has_disconnected();
+  bool is_disconnect_hidden();
   bool is_abandoned();
   void parse_read_ahead();
   void parse_steps();
@@ -136,6 +139,9 @@
   PendingRead pending_read_ = PendingRead::kNone;
   bool is_polling_disconnect_ = false;
   bool is_disconnected_ = false;  // the client has closed its side
+  bool is_reset_ = false;         // the connection ended with an error
+  bool is_answer_unconfirmed_ =
+      false;  // the client may not have the answer to `request_id_`, which is not idempotent
   bool has_sent_valid_request_ = false;
   bool is_keep_alive_ = true;           // the connection stays open after the response
   bool is_pause_due_ = false;           // pause reading after the response
@@ -147,7 +153,8 @@
   Evictions::Entry eviction_entry_;
   List::iterator position_;
   std::size_t lingered_bytes_ = 0;
-  Clock::Steady::time_point quiet_since_;  // when it last began to wait for a request
+  Clock::Steady::time_point forwarded_at_;  // when the present request was passed to the dispatcher
+  Clock::Steady::time_point quiet_since_;   // when it last began to wait for a request
   std::string request_id_;
 };
 
--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -62,9 +62,14 @@
                                        ? AcceptedClasses::kInForceOrPrevious
                                        : AcceptedClasses::kInForce;
   if (auto error = validate_request(request, rules.catalog, accepted, event)) return error;
-  if (!context_->dispatcher.is_open(event.id)) return std::nullopt;
-  return RequestError{http::status::bad_request,
-                      "X-Request-ID is in use by an open request; it must be unique"};
+  if (context_->dispatcher.is_open(event.id)) {
+    return RequestError{http::status::bad_request,
+                        "X-Request-ID is in use by an open request; it must be unique"};
+  }
+  const bool is_idempotent = request.method() == http::verb::get;
+  if (is_idempotent || !context_->dispatcher.may_have_run_before(event.id)) return std::nullopt;
+  return RequestError{http::status::conflict,
+                      "X-Request-ID is that of a request that may have run already; it must be unique"};
 }
 
 bool ClientConnection::must_reject(const Request& event) const {
@@ -77,6 +82,8 @@
 void ClientConnection::forward(HttpRequest&& request, Request&& event,
                                const std::shared_ptr<ForwardedRequest>& forwarded) {
   request_id_ = event.id;
+  forwarded_at_ = Clock::Steady::now();
+  is_answer_unconfirmed_ = request.method() != http::verb::get;
   rewrite_for_server(request, reader_.upload().get());
   forwarded->outgoing.request = std::move(request);
   forwarded->outgoing.remaining_body = reader_.upload();
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -30,7 +30,10 @@
 constexpr double kSlowBodyMemoryFraction = 0.75;
 constexpr double kFastBodyMemoryFraction = 0.25;
 /// Bytes that may wait to be parsed: a complete head, or the same amount of pipelined requests.
-constexpr std::size_t kMaxReadAheadBytes = kHeaderLimit + RequestReader::kReadBytes;
+constexpr std::size_t kMinReadAheadBytes = kHeaderLimit + RequestReader::kReadBytes;
+/// The same while less than this fraction of the memory budget is in use.
+constexpr std::size_t kMaxReadAheadBytes = std::size_t{256} * 1024;
+constexpr double kReadAheadMemoryFraction = 0.5;
 /// Bytes of read-ahead that an idle connection may keep allocated.
 constexpr std::size_t kMaxIdleReadAheadBytes = RequestReader::kReadBytes;
 
@@ -60,7 +63,9 @@
 }
 
 bool RequestReader::has_room_for_read() const {
-  return read_ahead_.size() <= kMaxReadAheadBytes - kReadBytes && (!upload_ || upload_->is_writable());
+  if (upload_ && !upload_->is_writable()) return false;
+  const bool has_memory = budget_.is_below_fraction(kReadAheadMemoryFraction);
+  return read_ahead_.size() <= (has_memory ? kMaxReadAheadBytes : kMinReadAheadBytes) - kReadBytes;
 }
 
 void RequestReader::discard_read_ahead() {
--- a/node/downstream/request_reader.h
+++ b/node/downstream/request_reader.h
@@ -57,6 +57,7 @@
   void append_received(std::size_t size);
   bool has_read_ahead() const { return read_ahead_.size() > 0; }
   /// Whether the read-ahead buffer and, if a body is streamed, its pipe can take the bytes of one more read.
+  /// While there is memory, much is read ahead, because the end of the connection can be behind it.
   bool has_room_for_read() const;
   /// Discards the read-ahead bytes and frees their memory.
   void discard_read_ahead();
--- a/node/node.h
+++ b/node/node.h
@@ -19,6 +19,7 @@
 #include "listen_retry.h"
 #include "reload.h"
 #include "takeover/disabled_servers.h"
+#include "takeover/sent_requests.h"
 #include "upstream/upstream_client.h"
 
 namespace nettleyoke::node {
@@ -70,6 +71,7 @@
   DescriptorBudget descriptors_;
   Metrics metrics_;
   UpstreamClient upstream_;
+  SentRequests sent_requests_;
   DiscoveryClient discovery_;
   Dispatcher dispatcher_;
   DownstreamServer downstream_;
--- a/node/upstream/attempt_types.h
+++ b/node/upstream/attempt_types.h
@@ -28,6 +28,7 @@
 struct AttemptEnd {
   Outcome outcome = Outcome::kUnknown;
   EndReason reason = EndReason::kServer;
+  bool was_sent = false;  ///< the last byte of the request was written
   /// s from the start of the attempt or, if the request's body was still arriving then, from the time when
   /// the last byte of the request was written. Up to the first byte of a streamed response, or else to the
   /// end.
--- a/node/upstream/upstream_attempt.cpp
+++ b/node/upstream/upstream_attempt.cpp
@@ -257,10 +257,11 @@
 }
 
 // A response that is given up ends as a reset: the server may have executed the request, because it had
-// started to respond.
+// started to respond. An error needs no body.
 void UpstreamAttempt::check_response() {
   const Clock::Steady::time_point now = Clock::Steady::now();
   if (reader_.is_streaming() || progress_timer_.expiry() > now) return;
+  if (reader_.has_failed()) return finish(reader_.outcome(), ConnectionReuse::kClose);
   switch (slow_response_.check(now, reader_.progress(), callbacks_.may_retry())) {
     case SlowResponsePolicy::Decision::kWait:
       return check_response_later();
@@ -367,7 +368,9 @@
 // Frees the connection before it reports the outcome, so that the next attempt of the decision library can
 // use the connection.
 void UpstreamAttempt::finish(Outcome outcome, ConnectionReuse reuse) {
-  if (std::exchange(state_, State::kEnded) == State::kEnded) return;
+  if (has_ended()) return;
+  const bool was_sent = is_sent();
+  state_ = State::kEnded;
   cancel_timer(timeout_timer_);
   cancel_timer(progress_timer_);
   cancel_timer(delivery_timer_);
@@ -387,7 +390,7 @@
     response.body() = reader_.take_body();
   }
   writer_.close_body();
-  const AttemptEnd end{outcome, end_reason_, elapsed()};
+  const AttemptEnd end{outcome, end_reason_, was_sent, elapsed()};
   const AttemptCallbacks callbacks = std::exchange(callbacks_, {});
   callbacks.on_ended(end, std::move(response));
 }
--- a/tests/node/dispatch_test.cpp
+++ b/tests/node/dispatch_test.cpp
@@ -95,9 +95,9 @@
 
 TEST_F(InFlight, HistoryNamesEachAttempt) {
   const std::size_t first = request.add_attempt("a"), second = request.add_attempt("b");
-  request.record_attempt(first, {Outcome::kReset, EndReason::kResponseIncomplete, 0.012});
+  request.record_attempt(first, {Outcome::kReset, EndReason::kResponseIncomplete, true, 0.012});
   EXPECT_TRUE(request.history().needs_logging());
-  request.record_attempt(second, {Outcome::kSucceeded, EndReason::kServer, 0.003});
+  request.record_attempt(second, {Outcome::kSucceeded, EndReason::kServer, true, 0.003});
   EXPECT_EQ(request.history().text(),
             ", class 3, given 1000 ms, a reset after 12 ms (response incomplete), b answered after 3 ms");
 }
@@ -108,7 +108,7 @@
   std::ostringstream out;
   RequestLog log(out);
   RequestHistory history(0, 1);
-  history.add_attempt("a", {Outcome::kSucceeded, EndReason::kServer, 0.1});
+  history.add_attempt("a", {Outcome::kSucceeded, EndReason::kServer, true, 0.1});
   history.add_final_answer(FinalAnswer::Kind::kServed, 0.1);
   log.write("good", history, 5);
   EXPECT_EQ(out.str(), "");
--- a/tests/node/large_request_test.cpp
+++ b/tests/node/large_request_test.cpp
@@ -171,7 +171,8 @@
   EXPECT_LT(std::chrono::steady_clock::now() - last_byte_at, 800ms + 500ms);
 }
 
-// The socket to a server that reads slowly is not writable for longer at a time than a server may read nothing.
+// The socket to a server that reads slowly is not writable for longer at a time than a server may read
+// nothing.
 TEST(LargeRequest, UploadThatItsServerReadsSlowlyIsWrittenCompletely) {
   constexpr std::size_t kBodyBytes = 8 * kMebibyte;
   Listener slow([](Connection& connection) {
--- a/tests/node/slow_server_test.cpp
+++ b/tests/node/slow_server_test.cpp
@@ -153,6 +153,19 @@
   }
 }
 
+// The outcome of an error is known from its head.
+TEST(SlowErrorResponse, IsNotWaitedFor) {
+  OneServerDeployment deployment([](Connection& connection, const std::string&) {
+    connection.write("HTTP/1.1 500 Error\r\nContent-Length: 50\r\n\r\nhalf");
+    while (connection.receive_more()) {  // until the node closes the connection
+    }
+    return false;
+  });
+  const auto sent_at = std::chrono::steady_clock::now();
+  EXPECT_EQ(deployment.status_for({.timeout_ms = "5000"}), 502);
+  EXPECT_LT(std::chrono::steady_clock::now() - sent_at, 2s);
+}
+
 // A server that reads a request at a constant rate and never responds. Its socket holds little, so that the
 // bytes that it has not read stay on the node's side.
 class SlowReader {
