Cut off no response, and refuse no small request, because a crowd holds the memory

Cause: incomplete bodies filled the whole memory for messages. A response that could not be reserved was given up, and a request of a few hundred bytes was refused.

Change: incomplete bodies are held only while less than 0.9 of the memory is in use. A response without memory is streamed, which takes a pipe; the head of one is read in any case.

--- a/node/dispatch/request_log.cpp
+++ b/node/dispatch/request_log.cpp
@@ -51,8 +51,6 @@
       return " (response incomplete)";
     case EndReason::kResponseSilent:
       return " (response stopped)";
-    case EndReason::kMemoryExhausted:
-      return " (no memory for the response)";
   }
   return "";
 }
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -29,6 +29,9 @@
 /// budget is in use: the first for a body that arrives below kFastBodyBytesPerSecond, the second for others.
 constexpr double kSlowBodyMemoryFraction = 0.75;
 constexpr double kFastBodyMemoryFraction = 0.25;
+/// A body that is incomplete is held only while less than this fraction is in use; the rest is for requests
+/// that are complete and for responses.
+constexpr double kIncompleteBodyMemoryFraction = 0.9;
 /// Bytes that may wait to be parsed: a complete head, or the same amount of pipelined requests.
 constexpr std::size_t kMinReadAheadBytes = kHeaderLimit + RequestReader::kReadBytes;
 /// The same while less than this fraction of the memory budget is in use.
@@ -146,7 +149,8 @@
 }
 
 RequestReader::BodyPlacement RequestReader::place_body() {
-  const bool is_reserved = reservation_.try_resize(memory_bytes());
+  const bool has_memory = is_complete() || budget_.is_below_fraction(kIncompleteBodyMemoryFraction);
+  const bool is_reserved = has_memory && reservation_.try_resize(memory_bytes());
   if (is_reserved && body_.size() <= body_buffer_limit()) return BodyPlacement::kBuffered;
   if (is_complete()) return is_reserved ? BodyPlacement::kBuffered : BodyPlacement::kRejected;
   return body_.size() <= kMaxUnstreamedBodyBytes ? BodyPlacement::kRejected : BodyPlacement::kStreamed;
--- a/node/upstream/attempt_types.h
+++ b/node/upstream/attempt_types.h
@@ -20,8 +20,7 @@
   kRequestNotRead,   ///< the server read nothing of the request for too long
   kRequestUnconfirmed,  ///< the server's system has not acknowledged all of the request
   kResponseIncomplete,  ///< the response had begun and was not complete in time
-  kResponseSilent,      ///< the streamed response stopped
-  kMemoryExhausted      ///< the memory budget does not have the bytes of the response
+  kResponseSilent       ///< the streamed response stopped
 };
 
 /// How an attempt ended.
--- a/node/upstream/response_reader.h
+++ b/node/upstream/response_reader.h
@@ -39,6 +39,8 @@
   /// Bytes of the body that have arrived, buffered or streamed.
   std::size_t body_bytes() const { return body_bytes_; }
   bool is_ok() const { return parser_->get().result() == boost::beast::http::status::ok; }
+  /// Whether the head is complete and tells that the response is for the client.
+  bool can_be_streamed() const { return parser_->is_header_done() && is_ok(); }
   /// Whether the head is complete and tells that the attempt has failed.
   bool has_failed() const { return parser_->is_header_done() && !is_ok() && !is_interim(); }
   bool is_interim() const;
--- a/node/upstream/upstream_attempt.cpp
+++ b/node/upstream/upstream_attempt.cpp
@@ -300,18 +300,19 @@
 }
 
 // Decides whether an incomplete response is streamed or buffered further. Returns false if the attempt has
-// ended.
+// ended. Without memory it is streamed: a pipe holds little, however slowly its client reads.
 bool UpstreamAttempt::stream_or_buffer_response() {
-  if (reader_.is_large()) {
-    if (!reader_.is_ok()) {
-      finish(reader_.outcome(), ConnectionReuse::kClose);
-      return false;
-    }
-    start_streaming();
-  } else if (!reservation_.try_resize(connection_->buffer().capacity() + reader_.memory_bytes())) {
-    give_up(Outcome::kUnknown, EndReason::kMemoryExhausted);
+  const std::size_t bytes = connection_->buffer().capacity() + reader_.memory_bytes();
+  if (reservation_.try_resize(bytes) && !reader_.is_large()) return true;
+  if (reader_.has_failed()) {
+    finish(reader_.outcome(), ConnectionReuse::kClose);
     return false;
   }
+  if (reader_.can_be_streamed()) {
+    start_streaming();
+  } else {
+    reservation_.resize(bytes);  // an incomplete head
+  }
   return true;
 }
 
--- a/tests/node/crowd_test.cpp
+++ b/tests/node/crowd_test.cpp
@@ -147,6 +147,41 @@
   crowd.expect_service_once_the_crowd_has_left();
 }
 
+// Prevents this failure: a sound response was cut off (502) because a crowd held the memory for messages.
+TEST(CrowdOfUploads, CutsOffNoResponseOfAnotherClient) {
+  const FakeServer::Reply reply = [](Connection& connection, const std::string&) {
+    const std::string body = large_body(60000);
+    if (!connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")) return false;
+    for (std::size_t at = 0; at < body.size(); at += 6000) {
+      connection.write(http_chunk(body.substr(at, 6000)));
+      std::this_thread::sleep_for(10ms);
+    }
+    return connection.write("0\r\n\r\n");
+  };
+  CrowdedDeployment crowd(32, reply);
+  Connection client = std::move(crowd.clients.back());
+  crowd.clients.pop_back();
+  crowd.for_each_client([](Connection& connection, const std::string& id) {
+    connection.write_until_blocked(half_of_a_large_request(id), 20);
+  });
+  int served = 0;
+  int cut_off = 0;
+  for (int i = 0; i < 10; ++i) {
+    client.write(get_request("other" + std::to_string(i)).text());
+    std::string response;
+    while (!response.ends_with("0\r\n\r\n") && !response.ends_with("refused\n") &&
+           !response.ends_with("failed\n")) {
+      const std::string piece = client.read_some();
+      if (piece.empty()) break;
+      response += piece;
+    }
+    cut_off += status_of(response) == 502 ? 1 : 0;
+    served += status_of(response) == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(cut_off, 0);
+  EXPECT_GT(served, 0);
+}
+
 class CrowdOfReaders : public testing::TestWithParam<int> {};
 
 INSTANTIATE_TEST_SUITE_P(With, CrowdOfReaders, testing::Values(32, 64, 192),
