Review case 6: show that a late second answer lets unsafe requests run twice

Cause: the first form of the case showed foreign answers only. The same fault makes the node take a running unsafe request for turned away, if the late second answer is a 503 that says that nothing ran.

The stand-in of discovery can answer late and list a server as draining; no other case uses that.

--- a/review/common-2/stand_ins.cpp
+++ b/review/common-2/stand_ins.cpp
@@ -100,6 +100,14 @@
          R"("stages":["gateway"],"weights":"silent","worthBy":"request","zone":0})";
 }
 
+std::string request_head(const char* method, const std::string& request_class, const std::string& id,
+                         long timeout_ms) {
+  sent_ids().add(id);
+  return std::string(method) + " /" + request_class + "?q=" + id + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: " +
+         id + "\r\nX-Priority-Class: " + request_class + "\r\nX-Tenant-Id: harbourline\r\nX-Timeout-Ms: " +
+         std::to_string(timeout_ms) + "\r\n";
+}
+
 }  // namespace
 
 // ---------------------------------------------------------------- the case
@@ -361,42 +369,84 @@
 
 // ---------------------------------------------------------------- discovery
 
-Agent::Agent(const std::vector<Server*>& servers) : listener_([this](Connection& c) { serve(c); }) {
-  for (const Server* server : servers) {
-    endpoints_ += (endpoints_.empty() ? "" : ",") + std::string(R"({"name":")") + server->name() +
-                  R"(","address":")" + server->address() +
-                  R"(","zone":"akl-dc1","type":"gw-std","group":0,"status":"up","weight":1.0,"since_ms":0})";
+Agent::Agent(const std::vector<Server*>& servers, double answer_delay)
+    : answer_delay_(answer_delay), listener_([this](Connection& c) { serve(c); }) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const Server* server : servers) endpoints_.push_back({server->name(), server->address(), "up"});
+}
+
+std::string Agent::entry(const Endpoint& endpoint) const {
+  return R"({"name":")" + endpoint.name + R"(","address":")" + endpoint.address +
+         R"(","zone":"akl-dc1","type":"gw-std","group":0,"status":")" + endpoint.status +
+         R"(","weight":1.0,"since_ms":0})";
+}
+
+std::string Agent::list() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::string entries;
+  for (const Endpoint& endpoint : endpoints_) entries += (entries.empty() ? "" : ",") + entry(endpoint);
+  return R"({"index":)" + std::to_string(41 + changed_.size()) + R"(,"snapshot":true,"endpoints":[)" + entries + "]}";
+}
+
+void Agent::drain(const std::string& server) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (Endpoint& endpoint : endpoints_) {
+    if (endpoint.name != server) continue;
+    endpoint.status = "draining";
+    changed_.push_back(endpoint);
   }
+  record("discovery: %s is draining", server.c_str());
 }
 
-std::string Agent::list() const {
-  return R"({"index":41,"snapshot":true,"endpoints":[)" + endpoints_ + "]}";
+// The latest change.
+std::string Agent::changes() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return R"({"index":)" + std::to_string(41 + changed_.size()) + R"(,"snapshot":false,"endpoints":[)" +
+         entry(changed_.back()) + "]}";
 }
 
 void Agent::serve(Connection& connection) {
   Head head;
   while (connection.read_head(head, now() + 60)) {
-    if (head.first_line.find("watch=1") == std::string::npos) {
-      if (!connection.send(ok_response(list() + "\n"))) return;
-      continue;
-    }
-    const auto chunk = [](const std::string& text) {
-      char size[16];
-      std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-      return size + text + "\r\n";
-    };
-    if (!connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list() + "\n"))) return;
-    for (;;) {
-      connection.read_some(now() + 2);
-      if (connection.end() != Connection::End::kTimeout) return;
-      if (!connection.send(chunk("\n"))) return;
+    const double called_at = now();
+    sleep_for(answer_delay_);
+    if (answer_delay_ > 0) {
+      connection.read_some(now());
+      record("discovery: answers %s after %.1f s%s", head.first_line.c_str(), now() - called_at,
+             connection.end() == Connection::End::kTimeout ? "" : ": the node has gone");
     }
+    if (head.first_line.find("watch=1") != std::string::npos) return serve_watch(connection);
+    if (!connection.send(ok_response(list() + "\n"))) return;
+  }
+}
+
+void Agent::serve_watch(Connection& connection) {
+  const auto chunk = [](const std::string& text) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  };
+  const auto version = [this] {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return changed_.size();
+  };
+  std::size_t told = version();
+  if (!connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list() + "\n"))) return;
+  double last_line_at = now();
+  for (;;) {
+    connection.read_some(now() + 0.05);
+    if (connection.end() != Connection::End::kTimeout) return;
+    const bool has_changed = version() > told;
+    if (!has_changed && now() < last_line_at + 2) continue;
+    if (!connection.send(chunk(has_changed ? changes() + "\n" : "\n"))) return;
+    told += has_changed ? 1 : 0;
+    last_line_at = now();
   }
 }
 
 // ---------------------------------------------------------------- the node
 
-Node::Node(const Agent& agent, const std::vector<RequestClass>& classes) : port_(free_port()) {
+Node::Node(Agent& agent, const std::vector<RequestClass>& classes) : port_(free_port()) {
   const std::string folder = environment("CASE_SCRATCH");
   const std::string listen = "127.0.0.1:" + std::to_string(port_);
   const std::string config_path = folder + "/config.json";
@@ -497,10 +547,13 @@
 }
 
 std::string get_request(const std::string& request_class, const std::string& id, long timeout_ms) {
-  sent_ids().add(id);
-  return "GET /" + request_class + "?q=" + id + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: " + id +
-         "\r\nX-Priority-Class: " + request_class + "\r\nX-Tenant-Id: harbourline\r\nX-Timeout-Ms: " +
-         std::to_string(timeout_ms) + "\r\n\r\n";
+  return request_head("GET", request_class, id, timeout_ms) + "\r\n";
+}
+
+std::string post_request(const std::string& request_class, const std::string& id, long timeout_ms) {
+  const std::string body = "order " + id + "\n";
+  return request_head("POST", request_class, id, timeout_ms) + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 Answer read_answer(Connection& connection, double until) {
--- a/review/common-2/stand_ins.h
+++ b/review/common-2/stand_ins.h
@@ -130,16 +130,32 @@
 /// A 200 answer with a length.
 std::string ok_response(const std::string& body);
 
-/// The agent of discovery: pushes the list, then an empty line every 2 s.
+/// The agent of discovery: pushes the list and its changes, and an empty line every 2 s.
 class Agent {
  public:
-  explicit Agent(const std::vector<Server*>& servers);
+  /// @param answer_delay s from a call to its answer
+  explicit Agent(const std::vector<Server*>& servers, double answer_delay = 0);
   std::string address() const { return listener_.address(); }
-  std::string list() const;
+  /// The complete list as it is now.
+  std::string list();
+  /// Lists the server as draining from now on.
+  void drain(const std::string& server);
 
  private:
+  struct Endpoint {
+    std::string name;
+    std::string address;
+    std::string status;
+  };
+  std::string entry(const Endpoint& endpoint) const;
+  std::string changes();
   void serve(Connection& connection);
-  std::string endpoints_;
+  void serve_watch(Connection& connection);
+
+  std::mutex mutex_;
+  std::vector<Endpoint> endpoints_;
+  std::vector<Endpoint> changed_;  // since the first version of the list
+  double answer_delay_;
   Listener listener_;
 };
 
@@ -153,7 +169,7 @@
 /// The node: the run command of the deploy file, started from the root.
 class Node {
  public:
-  Node(const Agent& agent, const std::vector<RequestClass>& classes);
+  Node(Agent& agent, const std::vector<RequestClass>& classes);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -184,6 +200,8 @@
 std::string new_id();
 /// The bytes of a GET of a safe class, with a new id that the servers know.
 std::string get_request(const std::string& request_class, const std::string& id, long timeout_ms);
+/// The same for a POST of an unsafe class, with a short body and no key.
+std::string post_request(const std::string& request_class, const std::string& id, long timeout_ms);
 /// Reads one answer until `until` at most.
 Answer read_answer(Connection& connection, double until);
 
