--- a/review/10/trial.cpp
+++ b/review/10/trial.cpp
@@ -28,7 +28,8 @@
 
 int main() {
   const auto handler = [](const std::string& name) {
-    return [name](Connection& connection, const Request& request) { return answer(connection, name, request); };
+    return
+        [name](Connection& connection, const Request& request) { return answer(connection, name, request); };
   };
   Server first("s-0001", handler("s-0001"));
   Server second("s-0002", handler("s-0002"));
@@ -51,7 +52,8 @@
   double reported_at = began_at;
   bool is_open = true;
   while (has_trouble() && is_open && !is_cut_off && now() < began_at + kWatched) {
-    const std::size_t wanted = std::min(kBody, static_cast<std::size_t>((now() - began_at + 2 * kStep) * kRate));
+    const std::size_t wanted =
+        std::min(kBody, static_cast<std::size_t>((now() - began_at + 2 * kStep) * kRate));
     if (wanted > body.size()) is_open = connection.read_bytes(body, wanted, now() + 3);
     sleep_for(kStep);
     if (now() < reported_at + 2) continue;
@@ -65,7 +67,7 @@
          name_of(connection.end()));
   const bool is_lost = body.size() < kBody;
   if (is_lost && !is_cut_off) cannot_run("the answer did not end, and its server was not cut off");
-  return verdict(is_lost, is_lost         ? "the node cut off an answer that its server still gave and its client took"
-                          : is_watch_over ? "the answer was not cut off while its client took it slowly"
-                                          : "the client got the whole answer");
+  finish(is_lost, is_lost ? "the node cut off an answer that its server still gave and its client took"
+                  : is_watch_over ? "the answer was not cut off while its client took it slowly"
+                                  : "the client got the whole answer");
 }
--- a/review/7/trial.cpp
+++ b/review/7/trial.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 constexpr int kRequests = 12;
-constexpr double kTimeout = 1.0;     // s that each client waits
-constexpr double kLate = 0.5;        // s after it within which a final answer only earns nothing
-constexpr double kWatched = 8.0;     // s for which the client looks on
+constexpr double kTimeout = 1.0;      // s that each client waits
+constexpr double kLate = 0.5;         // s after it within which a final answer only earns nothing
+constexpr double kWatched = 8.0;      // s for which the client looks on
 constexpr std::size_t kBody = 20000;  // bytes at once; far under 64 KiB
-constexpr double kPause = 0.1;       // s between two further bytes
+constexpr double kPause = 0.1;        // s between two further bytes
 constexpr int kSpoiltOneIn = 3;
 
 std::string chunk(const std::string& bytes) {
@@ -33,8 +33,8 @@
     ++bytes;
     sleep_for(kPause);
   }
-  record("%s: the answer to %s was given up by the node after %.1f s, %d bytes after the first %zu", server.c_str(),
-         request.id.c_str(), now() - began_at, bytes, body.size());
+  record("%s: the answer to %s was given up by the node after %.1f s, %d bytes after the first %zu",
+         server.c_str(), request.id.c_str(), now() - began_at, bytes, body.size());
   return false;
 }
 
@@ -42,7 +42,8 @@
 
 int main() {
   const auto handler = [](const std::string& name) {
-    return [name, count = std::make_shared<std::atomic<int>>(0)](Connection& connection, const Request& request) {
+    return [name, count = std::make_shared<std::atomic<int>>(0)](Connection& connection,
+                                                                 const Request& request) {
       return answer(connection, name, request, has_trouble() && ++*count % kSpoiltOneIn == 0);
     };
   };
@@ -66,8 +67,9 @@
       const double took = got.ended_at - sent_at;
       const bool is_ended = got.is_whole || got.end != Connection::End::kTimeout;
       const bool is_lost = !is_ended || took > kTimeout + kLate;
-      record("client: %s: status %d, %zu bytes, %s, %s after %.2f s%s", id.c_str(), got.status, got.body.size(),
-             got.is_whole ? "whole" : "not whole", name_of(got.end), took, is_lost ? ", LOST" : "");
+      record("client: %s: status %d, %zu bytes, %s, %s after %.2f s%s", id.c_str(), got.status,
+             got.body.size(), got.is_whole ? "whole" : "not whole", name_of(got.end), took,
+             is_lost ? ", LOST" : "");
       lost += is_lost ? 1 : 0;
       served += got.is_whole && got.status == 200 ? 1 : 0;
     });
@@ -75,6 +77,6 @@
   }
   for (std::thread& client : clients) client.join();
   if (served == 0) cannot_run("no request was served");
-  return verdict(lost > 0, std::to_string(lost) + " of " + std::to_string(kRequests) +
-                               " requests had no final answer 0.5 s after their time");
+  finish(lost > 0, std::to_string(lost) + " of " + std::to_string(kRequests) +
+                       " requests had no final answer 0.5 s after their time");
 }
--- a/review/common-2/stand_ins.cpp
+++ b/review/common-2/stand_ins.cpp
@@ -83,10 +83,11 @@
 
 // The settings of the deployment akl-build, as the page on the wire shows them.
 std::string settings_json(const std::vector<RequestClass>& classes) {
-  std::string text = R"({"azs":["akl-dc1"],"bounds":{"cancel":true,"cpuUsPerRequest":0.0,"cpuUsPerS":400000,)"
-                     R"("dialTimeout":0.1,"idleClose":30.0,"maxAttempts":6,"maxOpen":20000,"maxRetryAfter":2.0,)"
-                     R"("peers":false,"probes":true,"retryAfter":true,"secondCopies":false,"streamsPerConn":1},)"
-                     R"("categories":[)";
+  std::string text =
+      R"({"azs":["akl-dc1"],"bounds":{"cancel":true,"cpuUsPerRequest":0.0,"cpuUsPerS":400000,)"
+      R"("dialTimeout":0.1,"idleClose":30.0,"maxAttempts":6,"maxOpen":20000,"maxRetryAfter":2.0,)"
+      R"("peers":false,"probes":true,"retryAfter":true,"secondCopies":false,"streamsPerConn":1},)"
+      R"("categories":[)";
   for (std::size_t i = 0; i < classes.size(); ++i) text += (i > 0 ? "," : "") + class_json(classes[i]);
   return text +
          R"(],"clientHabits":{"marksRetry":true},"familyInfo":{"passesDeadline":true},)"
@@ -103,9 +104,9 @@
 std::string request_head(const char* method, const std::string& request_class, const std::string& id,
                          long timeout_ms) {
   sent_ids().add(id);
-  return std::string(method) + " /" + request_class + "?q=" + id + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: " +
-         id + "\r\nX-Priority-Class: " + request_class + "\r\nX-Tenant-Id: harbourline\r\nX-Timeout-Ms: " +
-         std::to_string(timeout_ms) + "\r\n";
+  return std::string(method) + " /" + request_class + "?q=" + id +
+         " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: " + id + "\r\nX-Priority-Class: " + request_class +
+         "\r\nX-Tenant-Id: harbourline\r\nX-Timeout-Ms: " + std::to_string(timeout_ms) + "\r\n";
 }
 
 }  // namespace
@@ -141,9 +142,11 @@
   std::_Exit(2);
 }
 
-int verdict(bool broken, const std::string& text) {
+void finish(bool broken, const std::string& text) {
   record("%s: %s", broken ? "BROKEN" : "held", text.c_str());
-  return broken ? 1 : 0;
+  const pid_t process = node_process;
+  if (process > 0 && ::kill(process, SIGKILL) == 0) ::waitpid(process, nullptr, 0);
+  std::_Exit(broken ? 1 : 0);
 }
 
 std::string Head::field(const std::string& name) const {
@@ -345,7 +348,8 @@
         !connection.read_bytes(request.body, std::strtoul(length.c_str(), nullptr, 10), now() + 60)) {
       return;
     }
-    if (head.field("transfer-encoding") == "chunked" && !connection.read_chunked(request.body, now() + 60)) return;
+    if (head.field("transfer-encoding") == "chunked" && !connection.read_chunked(request.body, now() + 60))
+      return;
     request.arrived_at = now();
     if (request.target == "/ping" && request.id.empty()) {
       if (!connection.send(ok_response("ok\n"))) return;
@@ -361,8 +365,8 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       requests_.push_back(request);
     }
-    record("%s: got %s %s id %s, X-Timeout-Ms %ld", name_.c_str(), request.method.c_str(), request.target.c_str(),
-           request.id.c_str(), request.timeout_ms);
+    record("%s: got %s %s id %s, X-Timeout-Ms %ld", name_.c_str(), request.method.c_str(),
+           request.target.c_str(), request.id.c_str(), request.timeout_ms);
     if (!handler_(connection, request)) return;
   }
 }
@@ -385,7 +389,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::string entries;
   for (const Endpoint& endpoint : endpoints_) entries += (entries.empty() ? "" : ",") + entry(endpoint);
-  return R"({"index":)" + std::to_string(41 + changed_.size()) + R"(,"snapshot":true,"endpoints":[)" + entries + "]}";
+  return R"({"index":)" + std::to_string(41 + changed_.size()) + R"(,"snapshot":true,"endpoints":[)" +
+         entries + "]}";
 }
 
 void Agent::drain(const std::string& server) {
@@ -431,7 +436,8 @@
     return changed_.size();
   };
   std::size_t told = version();
-  if (!connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list() + "\n"))) return;
+  if (!connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list() + "\n")))
+    return;
   double last_line_at = now();
   for (;;) {
     connection.read_some(now() + 0.05);
@@ -552,15 +558,16 @@
 
 std::string post_request(const std::string& request_class, const std::string& id, long timeout_ms) {
   const std::string body = "order " + id + "\n";
-  return request_head("POST", request_class, id, timeout_ms) + "Content-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+  return request_head("POST", request_class, id, timeout_ms) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 Answer read_answer(Connection& connection, double until) {
   Answer answer;
   Head head;
   if (connection.read_head(head, until)) {
-    answer.status = std::atoi(head.first_line.substr(std::min<std::size_t>(9, head.first_line.size())).c_str());
+    answer.status =
+        std::atoi(head.first_line.substr(std::min<std::size_t>(9, head.first_line.size())).c_str());
     answer.is_last = lower(head.field("connection")) == "close";
     const std::string length = head.field("content-length");
     if (lower(head.field("transfer-encoding")) == "chunked") {
--- a/review/common-2/stand_ins.h
+++ b/review/common-2/stand_ins.h
@@ -1,5 +1,6 @@
-// Stand-ins for the cases 6 to 10 of the review: a discovery agent, servers and clients on loopback, and the node
-// itself as a child process. Written from PROTOCOL, DEPLOY and TERMS. One thread per connection, blocking sockets.
+// Stand-ins for the cases 6 to 10 of the review: a discovery agent, servers and clients on loopback, and the
+// node itself as a child process. Written from PROTOCOL, DEPLOY and TERMS. One thread per connection,
+// blocking sockets.
 #pragma once
 
 #include <sys/types.h>
@@ -25,8 +26,9 @@
 void record(const char* format, ...) __attribute__((format(printf, 1, 2)));
 /// Ends the case with 2: it could not run.
 [[noreturn]] void cannot_run(const std::string& reason);
-/// Records the result and returns the exit code: 1 if `broken`, else 0.
-int verdict(bool broken, const std::string& text);
+/// Records the result, ends the node and ends the case: with 1 if `broken`, else with 0. The threads of the
+/// stand-ins are still running then, so that nothing is destroyed.
+[[noreturn]] void finish(bool broken, const std::string& text);
 
 struct Head {
   std::string first_line;
@@ -107,7 +109,8 @@
 };
 SentIds& sent_ids();
 
-/// A server of the first tier. By default it works for `work_s` and answers 200 with a body that names the request.
+/// A server of the first tier. By default it works for `work_s` and answers 200 with a body that names the
+/// request.
 class Server {
  public:
   /// Returns false if the connection must be closed.
@@ -190,7 +193,7 @@
   bool is_whole = false;
   int status = 0;
   std::string body;
-  double ended_at = 0;  // of the last byte, or of the end of the connection
+  double ended_at = 0;   // of the last byte, or of the end of the connection
   bool is_last = false;  // Connection: close
   Connection::End end = Connection::End::kNone;
 };
