Tests: end write_until_blocked when the connection has ended

Cause: Connection::write_until_blocked took each failed send for a full socket. Once the node had closed the connection, send failed with EPIPE and poll reported POLLOUT and POLLHUP at once, so that the loop never ended and the run hung.

Change: only EAGAIN and EINTR count as a full socket; any other error ends the call.

--- a/tests/node/harness/connection.h
+++ b/tests/node/harness/connection.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cctype>
+#include <cerrno>
 #include <string>
 #include <utility>
 
@@ -61,15 +62,20 @@
     }
     return true;
   }
-  /// Writes `text` until all of it is sent or the socket accepts no more bytes for a while, because the peer
-  /// has stopped reading.
+  /// Writes `text` until all of it is sent, the socket accepts no more bytes for a while, because the peer has
+  /// stopped reading, or the connection ends.
   void write_until_blocked(const std::string& text, int wait_milliseconds = 500) {
     for (std::size_t written = 0; written < text.size();) {
       const ssize_t sent =
           ::send(socket_.get(), text.data() + written, text.size() - written, MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (sent > 0) written += static_cast<std::size_t>(sent);
+      if (sent > 0) {
+        written += static_cast<std::size_t>(sent);
+        continue;
+      }
+      // poll() reports a closed connection as ready for ever, so that only the error tells of its end.
+      const bool would_block = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
       pollfd writable{socket_.get(), POLLOUT, 0};
-      if (sent <= 0 && ::poll(&writable, 1, wait_milliseconds) <= 0) return;
+      if (!would_block || ::poll(&writable, 1, wait_milliseconds) <= 0) return;
     }
   }
 
