--- a/tests/node/harness/connection.h
+++ b/tests/node/harness/connection.h
@@ -62,8 +62,8 @@
     }
     return true;
   }
-  /// Writes `text` until all of it is sent, the socket accepts no more bytes for a while, because the peer has
-  /// stopped reading, or the connection ends.
+  /// Writes `text` until all of it is sent, the socket accepts no more bytes for a while, because the peer
+  /// has stopped reading, or the connection ends.
   void write_until_blocked(const std::string& text, int wait_milliseconds = 500) {
     for (std::size_t written = 0; written < text.size();) {
       const ssize_t sent =
