Do not cut off a large response that its client takes slowly

Cause: each piece of a relayed response had 5 s to be written, without a look at whether the client took bytes. A socket whose send buffer is full becomes writable when a third of it is free; of up to 4 MiB that takes over 20 s at 64 kB/s.

Evidence: the end comes 5.05 s after the first byte with 1 s given, the attempt is "cancelled" (not "response stopped") and the request "served after 13 ms". In a scratch program the unacknowledged bytes fell all the time, but with pauses of 1.9 s (the system's receive buffer), 6.2 s (2 MB), 12.1 s (8 MB) and 18.3 s (grown to 13 MB).

Change: responses are written in steps. WriteProgress takes each step that the socket accepts, and each fall of the unacknowledged bytes, as a sign that the client takes bytes. A response is cut off after 10 s without one; a sixteenth of the acknowledged bytes at 32 kB/s, half of the slowest rate, is added, because the client's system may hide that much. Buffered responses are written in the same way.

--- a/node/dispatch/dispatcher.h
+++ b/node/dispatch/dispatcher.h
@@ -75,6 +75,10 @@
   [[nodiscard]] bool may_have_run_before(const std::string& id) {
     return sent_requests_.contains(id, Clock::Steady::now());
   }
+  /// The node ends a streamed response because its client takes nothing. Only logged.
+  void on_client_stalled(const std::string& id, const ClientStall& stall) {
+    request_log_.write_client_stall(id, stall, clock_.now());
+  }
   /// The client has the answer to the request with this id.
   void on_answer_received(const std::string& id) { sent_requests_.remove(id); }
   /// Called when the process is to end: every open request and every request accepted later gets its final
--- a/node/dispatch/request_log.cpp
+++ b/node/dispatch/request_log.cpp
@@ -94,6 +94,12 @@
   if (history.needs_logging() && admit_line(now)) out_ << "request " << id << history.text() << '\n';
 }
 
+void RequestLog::write_client_stall(const std::string& id, const ClientStall& stall, double now) {
+  if (!admit_line(now)) return;
+  out_ << "request " << id << ", response cut off, client took nothing for " << milliseconds(stall.pause)
+       << ", " << stall.acknowledged_bytes << " bytes before\n";
+}
+
 bool RequestLog::admit_line(double now) {
   if (now >= window_started_at_ + 1) {
     window_started_at_ = now;
--- a/node/dispatch/request_log.h
+++ b/node/dispatch/request_log.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <ostream>
 #include <string>
 
@@ -32,6 +33,12 @@
   bool needs_logging_ = false;
 };
 
+/// A client that takes nothing of a streamed response.
+struct ClientStall {
+  double pause = 0;                      ///< s since it last took some
+  std::uint64_t acknowledged_bytes = 0;  ///< what its system has of the response
+};
+
 /// Writes one line with the whole history of each request that needs logging, up to a limit per second.
 class RequestLog {
  public:
@@ -42,6 +49,8 @@
 
   /// @param now s on the node's clock
   void write(const std::string& id, const RequestHistory& history, double now);
+  /// The response to this request is cut off because its client has stalled.
+  void write_client_stall(const std::string& id, const ClientStall& stall, double now);
 
  private:
   [[nodiscard]] bool admit_line(double now);
--- a/node/downstream/client_connection.h
+++ b/node/downstream/client_connection.h
@@ -19,6 +19,7 @@
 #include "downstream/request_reader.h"
 #include "downstream/response_writer.h"
 #include "downstream/upload_clock.h"
+#include "downstream/write_progress.h"
 
 namespace nettleyoke::node {
 
@@ -123,10 +124,13 @@
   void reject_for_memory();
   void begin_response();
   void respond(HttpResponse&& response);
-  void on_response_written();
   void relay(FinalAnswer&& answer);
-  void relay_next(boost::system::error_code error);
-  void on_relay_written(boost::system::error_code error);
+  void start_writing();
+  void write_more();
+  void on_written(boost::system::error_code error, std::size_t size);
+  void write_next_chunk();
+  void check_write_progress();
+  void on_response_written();
   void abort_response();
   void linger();
 
@@ -149,6 +153,7 @@
   RequestReader reader_;
   UploadClock upload_clock_;  // of the streamed body
   ResponseWriter writer_;
+  WriteProgress write_progress_;
   RequestAccounting accounting_;
   Evictions::Entry eviction_entry_;
   List::iterator position_;
--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -156,14 +156,68 @@
   begin_response();
   reader_.reserve_with_response(response.body().size() + fields_memory_bytes(response));
   writer_.prepare(std::move(response), is_keep_alive_);
-  set_deadline(kWriteTimeout);
-  writer_.async_write(socket_, [self = shared_from_this()](error_code error, std::size_t) {
-    if (self->context_ == nullptr || self->state_ != State::kWriting) return;
-    if (error) return self->close();
-    self->on_response_written();
+  start_writing();
+}
+
+// Relays a large response as it arrives from the server.
+void ClientConnection::relay(FinalAnswer&& answer) {
+  begin_response();
+  is_keep_alive_ = writer_.prepare_relay(std::move(answer.response), std::move(answer.body),
+                                         reader_.http_version(), is_keep_alive_);
+  start_writing();
+}
+
+void ClientConnection::start_writing() {
+  write_progress_.start(Clock::Steady::now());
+  set_deadline(WriteProgress::kCheckInterval);
+  write_more();
+}
+
+// Writes in steps, because each step shows that the client takes bytes.
+void ClientConnection::write_more() {
+  writer_.async_write_some(socket_, [self = shared_from_this()](error_code error, std::size_t size) {
+    self->on_written(error, size);
+  });
+}
+
+void ClientConnection::on_written(error_code error, std::size_t size) {
+  if (context_ == nullptr || state_ != State::kWriting) return;
+  if (size > 0) write_progress_.on_written(Clock::Steady::now(), size);
+  if (error == http::error::need_buffer) return write_next_chunk();
+  if (error) return close();
+  if (!writer_.is_written()) return write_more();
+  if (writer_.is_relaying()) {
+    writer_.finish_relay();
+  }
+  on_response_written();
+}
+
+void ClientConnection::write_next_chunk() {
+  const ResponseWriter::Chunk chunk = writer_.next_chunk();
+  reader_.reserve_with_response(writer_.chunk_memory_bytes());
+  if (chunk == ResponseWriter::Chunk::kAborted) return abort_response();
+  if (chunk != ResponseWriter::Chunk::kNotYet) return write_more();
+  cancel_timer(deadline_);  // waiting for the server, not for the client
+  writer_.when_chunk_available([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || self->context_ == nullptr || !self->writer_.is_relaying()) return;
+    self->write_progress_.on_resumed(Clock::Steady::now());
+    self->set_deadline(WriteProgress::kCheckInterval);
+    self->write_next_chunk();
   });
 }
 
+void ClientConnection::check_write_progress() {
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  write_progress_.on_check(now, unacknowledged_bytes(socket_));
+  if (!write_progress_.has_stalled(now)) return set_deadline(WriteProgress::kCheckInterval);
+  if (writer_.is_relaying()) {
+    context_->dispatcher.on_client_stalled(
+        request_id_, {write_progress_.seconds_since_progress(now), write_progress_.acknowledged_bytes()});
+  }
+  close();
+}
+
 void ClientConnection::on_response_written() {
   accounting_.end(context_->metrics, result_of(writer_.status()));
   writer_.release();
@@ -182,45 +236,8 @@
   start_next_request();
 }
 
-// Relays a large response as it arrives from the server.
-void ClientConnection::relay(FinalAnswer&& answer) {
-  begin_response();
-  is_keep_alive_ = writer_.prepare_relay(std::move(answer.response), std::move(answer.body),
-                                         reader_.http_version(), is_keep_alive_);
-  set_deadline(kWriteTimeout);
-  writer_.async_write_head(
-      socket_, [self = shared_from_this()](error_code error, std::size_t) { self->relay_next(error); });
-}
-
-void ClientConnection::relay_next(error_code error) {
-  if (context_ == nullptr || state_ != State::kWriting || !writer_.is_relaying()) return;
-  if (error && error != http::error::need_buffer) return close();
-  const ResponseWriter::Chunk chunk = writer_.next_chunk();
-  reader_.reserve_with_response(writer_.chunk_memory_bytes());
-  if (chunk == ResponseWriter::Chunk::kAborted) return abort_response();
-  if (chunk == ResponseWriter::Chunk::kNotYet) {
-    cancel_timer(deadline_);  // waiting for the server, not for the client
-    return writer_.when_chunk_available([weak = weak_from_this()] {
-      if (const auto self = weak.lock()) self->relay_next({});
-    });
-  }
-  const bool is_last = chunk == ResponseWriter::Chunk::kEnd;
-  set_deadline(kWriteTimeout);
-  writer_.async_write_chunk(socket_,
-                            [self = shared_from_this(), is_last](error_code write_error, std::size_t) {
-                              is_last ? self->on_relay_written(write_error) : self->relay_next(write_error);
-                            });
-}
-
-void ClientConnection::on_relay_written(error_code error) {
-  if (context_ == nullptr || state_ != State::kWriting) return;
-  if (error) return close();
-  writer_.finish_relay();
-  on_response_written();
-}
-
-// The server aborted within the body. Resets the connection: if the close marks the end of the response, an
-// orderly close would make the partial response look complete.
+// The server aborted within the body. Resets the connection: if the close marks
+// the end of the response, an orderly close would make the partial response look complete.
 void ClientConnection::abort_response() {
   set_reset_on_close(socket_, true);
   close();
--- a/node/downstream/connection_timeouts.h
+++ b/node/downstream/connection_timeouts.h
@@ -1,5 +1,6 @@
 /// @file
-/// How long a client connection may stay in each of its states. Constants only.
+/// How long a client connection may stay in each of its states, and how slow its client may be. Constants
+/// only. WriteProgress has those of a response that is being written.
 #pragma once
 
 #include <chrono>
@@ -17,13 +18,13 @@
 constexpr std::chrono::seconds kIdleTimeout{10};
 /// After a client error, before the next request is read.
 constexpr std::chrono::milliseconds kErrorPause{100};
-/// For writing a response, or the next part of a relayed one, to a client.
-constexpr std::chrono::seconds kWriteTimeout{5};
 /// For a client to read the last response before its connection is closed.
 constexpr std::chrono::milliseconds kLingerTimeout{500};
 /// The same for a client that is still sending its request.
 constexpr std::chrono::milliseconds kIncompleteRequestLingerTimeout{2500};
 /// Between two checks for a client disconnect while the connection is not being read.
 constexpr std::chrono::milliseconds kDisconnectPollInterval{100};
+/// Half the rate of the slowest clients that are entitled to a response, for sending and for taking a body.
+constexpr double kMinClientBytesPerSecond = 32e3;
 
 }  // namespace nettleyoke::node
--- a/node/downstream/request_reader.cpp
+++ b/node/downstream/request_reader.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// Half the rate of the slowest clients that are entitled to a response.
-constexpr double kMinBodyBytesPerSecond = 32e3;
 /// Time after the head before that rate is required.
 constexpr Seconds kBodyRateGrace{1.5};
 /// A body that arrives at this rate or faster does not occupy a server for long.
@@ -143,7 +141,7 @@
 
 Seconds RequestReader::time_for_next_body_bytes() const {
   const double remaining = kBodyRateGrace.count() +
-                           static_cast<double>(received_body_bytes_) / kMinBodyBytesPerSecond -
+                           static_cast<double>(received_body_bytes_) / kMinClientBytesPerSecond -
                            seconds_since_head();
   return std::min(Seconds(kMaxBodyPause), Seconds(remaining));
 }
--- a/node/downstream/response_writer.cpp
+++ b/node/downstream/response_writer.cpp
@@ -7,6 +7,12 @@
   response_.version(11);
   response_.keep_alive(keep_alive);
   response_.prepare_payload();
+  serializer_.emplace(response_);
+}
+
+void ResponseWriter::release() {
+  serializer_.reset();
+  response_ = {};
 }
 
 bool ResponseWriter::prepare_relay(HttpResponse&& response, std::shared_ptr<BodyPipe> source,
@@ -25,7 +31,8 @@
   }
   relayed_->keep_alive(keep_alive);
   relayed_->body().more = true;
-  serializer_.emplace(*relayed_);
+  relayed_serializer_.emplace(*relayed_);
+  relayed_serializer_->split(true);  // the head does not wait for the first bytes of the body
   return keep_alive;
 }
 
@@ -43,7 +50,7 @@
 void ResponseWriter::finish_relay() {
   source_.reset();
   chunk_ = {};
-  serializer_.reset();
+  relayed_serializer_.reset();
   relayed_.reset();
 }
 
--- a/node/downstream/response_writer.h
+++ b/node/downstream/response_writer.h
@@ -31,11 +31,6 @@
   /// @{
 
   void prepare(HttpResponse&& response, bool keep_alive);
-  /// Writes the prepared response.
-  template <typename Handler>
-  void async_write(boost::asio::ip::tcp::socket& socket, Handler&& handler) {
-    boost::beast::http::async_write(socket, response_, std::forward<Handler>(handler));
-  }
 
   /// @}
   /// @name Relayed responses
@@ -48,19 +43,10 @@
   [[nodiscard]] bool prepare_relay(HttpResponse&& response, std::shared_ptr<BodyPipe> source,
                                    unsigned http_version, bool keep_alive);
   bool is_relaying() const { return source_ != nullptr; }
-  template <typename Handler>
-  void async_write_head(boost::asio::ip::tcp::socket& socket, Handler&& handler) {
-    boost::beast::http::async_write_header(socket, *serializer_, std::forward<Handler>(handler));
-  }
   /// Takes the bytes that have arrived from the source.
   [[nodiscard]] Chunk next_chunk();
   /// Memory of what next_chunk() took.
   std::size_t chunk_memory_bytes() const { return chunk_.capacity(); }
-  /// Writes what next_chunk() took.
-  template <typename Handler>
-  void async_write_chunk(boost::asio::ip::tcp::socket& socket, Handler&& handler) {
-    boost::beast::http::async_write(socket, *serializer_, std::forward<Handler>(handler));
-  }
   /// Calls `callback` once when the source has bytes or has ended.
   void when_chunk_available(BodyPipe::Callback callback) { source_->when_readable(std::move(callback)); }
   /// Releases the state of a relayed response after its last byte is written.
@@ -72,16 +58,31 @@
 
   /// @}
 
+  /// Writes as much of the prepared response as the socket accepts at once, of a relayed one the head and
+  /// then what next_chunk() took. The handler gets http::error::need_buffer when that is written.
+  template <typename Handler>
+  void async_write_some(boost::asio::ip::tcp::socket& socket, Handler&& handler) {
+    namespace http = boost::beast::http;
+    if (relayed_serializer_) {
+      http::async_write_some(socket, *relayed_serializer_, std::forward<Handler>(handler));
+    } else {
+      http::async_write_some(socket, *serializer_, std::forward<Handler>(handler));
+    }
+  }
+  /// Whether the whole response is written.
+  bool is_written() { return relayed_serializer_ ? relayed_serializer_->is_done() : serializer_->is_done(); }
+
   /// Status of the most recently prepared response.
   boost::beast::http::status status() const { return response_.result(); }
   /// Frees the memory of the most recent response.
-  void release() { response_ = {}; }
+  void release();
 
  private:
   HttpResponse response_;  // if relayed: holds the status only
+  std::optional<boost::beast::http::response_serializer<boost::beast::http::string_body>> serializer_;
   std::shared_ptr<BodyPipe> source_;
   std::optional<boost::beast::http::response<boost::beast::http::buffer_body>> relayed_;
-  std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> serializer_;
+  std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> relayed_serializer_;
   std::string chunk_;
 };
 
