Keep a connection while its client still takes the written response

What callers saw: a client that takes a 3 MB response at 64 kB/s and sends something meanwhile (the next request after 12 s, or bytes behind a request with Connection: close after 2 s) lost the rest of the response by a reset.

Once the last byte is written to the socket, the node closed after 10 s or 0.5 s, though its system still held megabytes; bytes that arrive after the close reset the connection.

Change: an idle or lingering connection whose relayed response is not acknowledged completely stays open as long as WriteProgress says that the client takes bytes, except once a graceful shutdown closes connections.

--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -188,6 +188,7 @@
   if (!writer_.is_written()) return write_more();
   if (writer_.is_relaying()) {
     writer_.finish_relay();
+    write_progress_.on_check(Clock::Steady::now(), unacknowledged_bytes(socket_));
   }
   on_response_written();
 }
@@ -218,6 +219,18 @@
   close();
 }
 
+// Whether the node has written a relayed response and its client still takes it. Bytes that the client sends
+// after a close would reset the connection, and it would lose the rest.
+bool ClientConnection::is_last_response_being_taken() {
+  if (!is_idle() && state_ != State::kLingering) return false;
+  const int unacknowledged = unacknowledged_bytes(socket_);
+  if (unacknowledged == 0 || !write_progress_.is_checked()) return false;
+  if (context_->shutdown.is_closing_connections()) return false;
+  const Clock::Steady::time_point now = Clock::Steady::now();
+  write_progress_.on_check(now, unacknowledged);
+  return !write_progress_.has_stalled(now);
+}
+
 void ClientConnection::on_response_written() {
   accounting_.end(context_->metrics, result_of(writer_.status()));
   writer_.release();
--- a/node/downstream/write_progress.h
+++ b/node/downstream/write_progress.h
@@ -36,6 +36,8 @@
   /// @param unacknowledged_bytes see node::unacknowledged_bytes()
   void on_check(TimePoint now, int unacknowledged_bytes);
 
+  /// Whether on_check() was called since the last write.
+  bool is_checked() const { return unacknowledged_bytes_.has_value(); }
   /// Whether the client has taken nothing for too long.
   bool has_stalled(TimePoint now) const { return now >= moved_at_ + max_pause(); }
   /// How long the client has seemed to take nothing.
--- a/tests/node/slow_client_test.cpp
+++ b/tests/node/slow_client_test.cpp
@@ -159,5 +159,42 @@
       << client.received().size() << " bytes; " << deployment.program->log();
 }
 
+// A client that sends more while it still takes a response that the node has written.
+struct EarlySender {
+  const char* name;
+  bool keeps_connection;
+  Milliseconds sends_after;
+};
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest looks for
+void PrintTo(const EarlySender& sender, std::ostream* out) { *out << sender.name; }
+
+class WrittenResponse : public testing::TestWithParam<EarlySender> {};
+
+INSTANTIATE_TEST_SUITE_P(To, WrittenResponse,
+                         testing::Values(EarlySender{"AClientThatKeepsTheConnection", true, 12s},
+                                         EarlySender{"AClientThatEndsTheConnection", false, 2s}),
+                         [](const auto& info) { return info.param.name; });
+
+// Prevents this failure: the node closed the connection while its system still held megabytes of the
+// response, and the next bytes of the client reset it.
+TEST_P(WrittenResponse, IsNotLostWhenItsClientSendsMoreBeforeItHasTakenAll) {
+  const EarlySender& sender = GetParam();
+  const std::string body = large_body(3 * kMebibyte);
+  OneServerDeployment deployment(reply_with(Framing::kLength, body));
+  SlowClient client(deployment.program->port());
+  RequestBuilder request = get_request("r1");
+  if (!sender.keeps_connection) request.fields = "Connection: close\r\n";
+  client.connection().write(request.text());
+  client.take_slowly(kSlowestRate, sender.sends_after, 100ms);
+  RequestBuilder next_request = last_request("look");
+  next_request.id = "r2";
+  client.connection().write(next_request.text());
+  client.take_rest();
+  const std::string& received = client.received();
+  EXPECT_TRUE(body_of(received).starts_with(body)) << received.size() << " bytes";
+  const std::string next = body_of(received).substr(std::min(body.size(), body_of(received).size()));
+  EXPECT_EQ(status_of(next), sender.keeps_connection ? 200 : 0);
+}
+
 }  // namespace
 }  // namespace nettleyoke::node
--- a/tests/node/write_progress_test.cpp
+++ b/tests/node/write_progress_test.cpp
@@ -38,6 +38,7 @@
 TEST_F(WriteProgressTest, AcceptedBytesAreProgressAndStartTheComparisonAnew) {
   progress.on_check(start + 1s, 50);
   progress.on_written(start + 9s, 100);
+  EXPECT_FALSE(progress.is_checked());
   progress.on_check(start + 10s, 10);
   EXPECT_FALSE(progress.has_stalled(start + 18s));
   EXPECT_TRUE(progress.has_stalled(start + 20s)) << "the first check compares with nothing";
