Reset the connection of a client that has stopped to take its response

What callers saw: an HTTP/1.0 client that stopped, and read on after the node had given up, took the part of a response without a length for the whole: the node closed the connection in order, and there only the close ends the response.

Cause: the time-out of a write closed the connection in order, unlike the abort by a server (abort_response).

Change: a stalled client is disconnected in the same way as after an abort, with a reset. That also frees what the system still holds for it.

--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -216,7 +216,7 @@
     context_->dispatcher.on_client_stalled(
         request_id_, {write_progress_.seconds_since_progress(now), write_progress_.acknowledged_bytes()});
   }
-  close();
+  abort_response();
 }
 
 // Whether the node has written a relayed response and its client still takes it. Bytes that the client sends
@@ -249,7 +249,7 @@
   start_next_request();
 }
 
-// The server aborted within the body. Resets the connection: if the close marks
+// The server aborted within the body, or the client takes nothing. Resets the connection: if the close marks
 // the end of the response, an orderly close would make the partial response look complete.
 void ClientConnection::abort_response() {
   set_reset_on_close(socket_, true);
--- a/tests/node/slow_client_test.cpp
+++ b/tests/node/slow_client_test.cpp
@@ -196,5 +196,31 @@
   EXPECT_EQ(status_of(next), sender.keeps_connection ? 200 : 0);
 }
 
+class StoppedClient : public testing::TestWithParam<std::pair<Framing, const char*>> {};
+
+INSTANTIATE_TEST_SUITE_P(Of, StoppedClient,
+                         testing::Values(std::pair{Framing::kLength, "HTTP/1.1"},
+                                         std::pair{Framing::kChunked, "HTTP/1.1"},
+                                         std::pair{Framing::kClose, "HTTP/1.0"}),
+                         [](const auto& info) { return "Framing" + std::to_string(info.index); });
+
+// A client that takes nothing may not hold its server for long, and must not take what it has for the whole.
+TEST_P(StoppedClient, IsDisconnectedAndCanTellThatTheResponseIsIncomplete) {
+  const auto& [framing, version] = GetParam();
+  const std::string body = large_body(16 * kMebibyte);
+  OneServerDeployment deployment(reply_with(framing, body));
+  SlowClient client(deployment.program->port());
+  std::string text = last_request("look").text();
+  text.replace(text.find("HTTP/1.1"), 8, version);
+  client.connection().write(text);
+  client.take_at_once(100);
+  const auto stopped_at = std::chrono::steady_clock::now();
+  ASSERT_TRUE(eventually([&] { return deployment.server.listener().open_connections() == 0; }));
+  EXPECT_GT(seconds_since(stopped_at), 4) << "a short stop must not end the response";
+  client.take_rest();
+  EXPECT_LT(client.received().size(), body.size());
+  EXPECT_TRUE(client.was_reset());
+}
+
 }  // namespace
 }  // namespace nettleyoke::node
