Tests: share the last request of a class and the decoding of a body

Cause: slow_client_test built its requests and decoded bodies with copies of what slow_server_test had.

Change: last_request_of_class stands in request_builder.h, decoded_body in large_body.h; both tests use them.

--- a/tests/node/harness/request_builder.h
+++ b/tests/node/harness/request_builder.h
@@ -27,6 +27,19 @@
   }
 };
 
+/// A request of one of the classes of NodeConfig that asks the node to close the connection after it.
+inline RequestBuilder last_request_of_class(const std::string& request_class,
+                                            const std::string& timeout_ms = "15000") {
+  RequestBuilder request{.request_class = request_class, .timeout_ms = timeout_ms};
+  request.fields = "Connection: close\r\n";
+  if (request_class == "mark") request.idempotency_key = "k";
+  if (request_class == "look") {
+    request.method = "GET";
+    request.body = "";
+  }
+  return request;
+}
+
 /// A GET request of the idempotent class, without a body.
 inline RequestBuilder get_request(const std::string& id) {
   return {.request_class = "look", .id = id, .method = "GET", .body = ""};
--- a/tests/node/large_body.h
+++ b/tests/node/large_body.h
@@ -51,4 +51,10 @@
   }
 }
 
+/// The body of a response in any framing; "incomplete" if it is chunked and its chunks are incomplete.
+inline std::string decoded_body(const std::string& response) {
+  const std::string body = body_of(response);
+  return field_of(response, "Transfer-Encoding") == "chunked" ? dechunked(body).value_or("incomplete") : body;
+}
+
 }  // namespace nettleyoke::node
--- a/tests/node/slow_client_test.cpp
+++ b/tests/node/slow_client_test.cpp
@@ -41,22 +41,6 @@
   };
 }
 
-// A request that asks the node to close the connection after the response.
-RequestBuilder last_request(const std::string& request_class) {
-  RequestBuilder request{.request_class = request_class, .fields = "Connection: close\r\n"};
-  if (request_class == "mark") request.idempotency_key = "k";
-  if (request_class == "look") {
-    request.method = "GET";
-    request.body = "";
-  }
-  return request;
-}
-
-std::string decoded_body(const std::string& response) {
-  const std::string body = body_of(response);
-  return field_of(response, "Transfer-Encoding") == "chunked" ? dechunked(body).value_or("incomplete") : body;
-}
-
 // A client that takes a response at a given rate.
 class SlowClient {
  public:
@@ -149,7 +133,7 @@
   const std::string body = large_body(reading.body_bytes);
   OneServerDeployment deployment(reply_with(reading.framing, body));
   SlowClient client(deployment.program->port(), reading.receive_buffer);
-  client.connection().write(last_request(reading.request_class).text());
+  client.connection().write(last_request_of_class(reading.request_class).text());
   client.take_at_once(reading.bytes_at_once);
   client.take_slowly(kSlowestRate, reading.duration, reading.pause);
   EXPECT_LT(client.received().size(), body.size()) << "the slow part must not be over";
@@ -186,7 +170,7 @@
   if (!sender.keeps_connection) request.fields = "Connection: close\r\n";
   client.connection().write(request.text());
   client.take_slowly(kSlowestRate, sender.sends_after, 100ms);
-  RequestBuilder next_request = last_request("look");
+  RequestBuilder next_request = last_request_of_class("look");
   next_request.id = "r2";
   client.connection().write(next_request.text());
   client.take_rest();
@@ -210,7 +194,7 @@
   const std::string body = large_body(16 * kMebibyte);
   OneServerDeployment deployment(reply_with(framing, body));
   SlowClient client(deployment.program->port());
-  std::string text = last_request("look").text();
+  std::string text = last_request_of_class("look").text();
   text.replace(text.find("HTTP/1.1"), 8, version);
   client.connection().write(text);
   client.take_at_once(100);
--- a/tests/node/slow_server_test.cpp
+++ b/tests/node/slow_server_test.cpp
@@ -66,22 +66,6 @@
   };
 }
 
-RequestBuilder request_of_class(const std::string& request_class, const std::string& timeout_ms) {
-  RequestBuilder request{.request_class = request_class, .timeout_ms = timeout_ms};
-  request.fields = "Connection: close\r\n";
-  if (request_class == "mark") request.idempotency_key = "k";
-  if (request_class == "look") {
-    request.method = "GET";
-    request.body = "";
-  }
-  return request;
-}
-
-std::string decoded_body(const std::string& response) {
-  const std::string body = body_of(response);
-  return field_of(response, "Transfer-Encoding") == "chunked" ? dechunked(body).value_or("incomplete") : body;
-}
-
 class SlowResponse : public testing::TestWithParam<std::tuple<Pace, Framing, const char*>> {};
 
 INSTANTIATE_TEST_SUITE_P(
@@ -104,7 +88,7 @@
   FakeServer second(reply_slowly(framing, pace));
   Deployment deployment({&first, &second});
   Connection client = deployment.client();
-  client.write(request_of_class(request_class, pace.timeout_ms).text());
+  client.write(last_request_of_class(request_class, pace.timeout_ms).text());
   const auto sent_at = std::chrono::steady_clock::now();
   ASSERT_TRUE(client.receive_more());
   EXPECT_LT(std::chrono::steady_clock::now() - sent_at, Milliseconds(std::stoi(pace.timeout_ms)));
@@ -118,7 +102,7 @@
   for (const Framing framing : {Framing::kChunked, Framing::kClose, Framing::kLength}) {
     OneServerDeployment deployment(reply_slowly(framing, Pace{"", 40000, 100ms, 4000, 80ms, ""}));
     Connection client = deployment.client();
-    client.write(request_of_class("close", "3000").text());
+    client.write(last_request_of_class("close", "3000").text());
     const std::string response = client.read_to_end();
     EXPECT_EQ(status_of(response), 200) << deployment.program->log();
     EXPECT_TRUE(decoded_body(response) == large_body(40000));
@@ -140,7 +124,7 @@
         return false;
       });
       Connection client = deployment.client();
-      RequestBuilder request = request_of_class("close", "700");
+      RequestBuilder request = last_request_of_class("close", "700");
       request.id = "s" + std::to_string(++count);
       client.write(request.text());
       const auto sent_at = std::chrono::steady_clock::now();
@@ -206,7 +190,7 @@
   FakeServer second(reply_without_end(framing, trickle));
   Deployment deployment({&first, &second});
   Connection client = deployment.client();
-  client.write(request_of_class(request_class, "800").text());
+  client.write(last_request_of_class(request_class, "800").text());
   const auto sent_at = std::chrono::steady_clock::now();
   const auto limit = 800ms + kAnswerSlack;
   std::string response;
@@ -290,7 +274,7 @@
   config.memory_mb = upload.memory_mb;
   const NodeProcess node(config.text());
   Connection client = Connection::to(node.port());
-  RequestBuilder request = request_of_class(request_class, upload.timeout_ms);
+  RequestBuilder request = last_request_of_class(request_class, upload.timeout_ms);
   const std::string body = large_body(upload.body_bytes);
   std::string text;
   if (framing == Framing::kChunked) {
