Evict connections that wait for slow clients to take their last response

With all connections of the limit in this state new clients were rejected.

Change: such a connection counts as idle for eviction. The system still delivers the rest after the close, unless the client sends more.

Tests: ClientsThatTakeTheirLastResponseSlowly.AreEvictedForNewClients (40 clients one after another, room for 20) fails without the change at the 21st client and passes with it; 27 tests of admission, eviction and slow clients pass. arm64.

--- a/node/downstream/client_connection.cpp
+++ b/node/downstream/client_connection.cpp
@@ -177,7 +177,7 @@
   // Bytes that arrived just before the deadline still count: they are read next.
   if (state_ == State::kReading && has_unread_bytes()) return set_deadline(kLingerTimeout);
   if (state_ == State::kWriting) return check_write_progress();
-  if (is_last_response_being_taken()) return set_deadline(kLingerTimeout);
+  if (keep_while_response_is_taken()) return;
   if (state_ == State::kAwaitingFinalAnswer && upload_clock_.is_blocked()) {
     return context_->dispatcher.reject_incomplete(request_id_);
   }
--- a/node/downstream/client_connection.h
+++ b/node/downstream/client_connection.h
@@ -130,7 +130,7 @@
   void on_written(boost::system::error_code error, std::size_t size);
   void write_next_chunk();
   void check_write_progress();
-  [[nodiscard]] bool is_last_response_being_taken();
+  [[nodiscard]] bool keep_while_response_is_taken();
   void on_response_written();
   void abort_response();
   void linger();
--- a/node/downstream/client_connection_requests.cpp
+++ b/node/downstream/client_connection_requests.cpp
@@ -219,16 +219,22 @@
   abort_response();
 }
 
-// Whether the node has written a relayed response and its client still takes it. Bytes that the client sends
-// after a close would reset the connection, and it would lose the rest.
-bool ClientConnection::is_last_response_being_taken() {
+// Keeps the connection for a while if the node has written a relayed response and its client still takes it.
+// Bytes that the client sends after a close would reset the connection, and it would lose the rest. Where
+// connections are short, the connection is evicted nevertheless.
+bool ClientConnection::keep_while_response_is_taken() {
   if (!is_idle() && state_ != State::kLingering) return false;
   const int unacknowledged = unacknowledged_bytes(socket_);
   if (unacknowledged == 0 || !write_progress_.is_checked()) return false;
   if (context_->shutdown.is_closing_connections()) return false;
   const Clock::Steady::time_point now = Clock::Steady::now();
   write_progress_.on_check(now, unacknowledged);
-  return !write_progress_.has_stalled(now);
+  if (write_progress_.has_stalled(now)) return false;
+  if (!eviction_entry_.is_queued()) {
+    context_->admission.eviction_queue().add(Evictions::Kind::kIdle, *this, eviction_entry_);
+  }
+  set_deadline(kLingerTimeout);
+  return true;
 }
 
 void ClientConnection::on_response_written() {
--- a/tests/node/slow_client_test.cpp
+++ b/tests/node/slow_client_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <deque>
 #include <ostream>
 #include <string>
 #include <thread>
@@ -180,6 +181,24 @@
   EXPECT_EQ(status_of(next), sender.keeps_connection ? 200 : 0);
 }
 
+// Prevents this failure: connections that were kept because their clients still took the last response used
+// up the limit, and new clients were rejected.
+TEST(ClientsThatTakeTheirLastResponseSlowly, AreEvictedForNewClients) {
+  NodeConfig config;
+  config.sockets = 64;  // 20 of them for clients
+  OneServerDeployment deployment(reply_with(Framing::kLength, large_body(300 * kKibibyte)), config);
+  std::deque<SlowClient> clients;
+  for (int i = 0; i < 40; ++i) {
+    SlowClient& client = clients.emplace_back(deployment.program->port(), 4096);
+    RequestBuilder request = last_request_of_class("look");
+    request.id = "r" + std::to_string(i);
+    client.connection().write(request.text());
+    client.take_at_once(1000);
+    ASSERT_EQ(status_of(client.received()), 200) << i;
+    std::this_thread::sleep_for(100ms);
+  }
+}
+
 class StoppedClient : public testing::TestWithParam<std::pair<Framing, const char*>> {};
 
 INSTANTIATE_TEST_SUITE_P(Of, StoppedClient,
