Allow for a quarter of the client's receive buffer before a response is cut off

Cause: WriteProgress allowed for a sixteenth of what the client's system may hold. That is when Linux reports free space again, but with small segments much of a buffer is overhead that has to be read away first. A scratch program that writes 1,400 bytes at a time with pauses saw 29.4 s without a change of the unacknowledged bytes, nearly a quarter of 8 MB at 64 kB/s; with larger pieces or without pauses 10 to 12 s.

Change: a quarter, at half of the slowest rate as before. A client that stops is ended after 10 s and 8 s for each MB that it took (2 s before this commit).

--- a/node/downstream/write_progress.h
+++ b/node/downstream/write_progress.h
@@ -24,8 +24,9 @@
   static constexpr std::chrono::seconds kCheckInterval{1};
   /// How long a client may seem to take nothing, if its system can't hold much of the response.
   static constexpr std::chrono::seconds kMaxPause{10};
-  /// A system with a full receive buffer reports free space once this part of the buffer is free.
-  static constexpr double kReportedBufferPart = 1.0 / 16;
+  /// A system with a full receive buffer reports free space once a sixteenth of the buffer is free; with the
+  /// overhead of small segments a program may have to take up to this part of its bytes before.
+  static constexpr double kReportedBufferPart = 1.0 / 4;
 
   /// A response begins to be written.
   void start(TimePoint now);
